Add design, message transport, bundle types and telemetry

Cause: the repository is empty; the packages need one agreed design, a transport between own processes and shared bundle types before they can be written side by side. Result: go test -race ./internal/peer passes.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+GO ?= go
+BIN := bin
+
+.PHONY: all build demo test check unit models examples measure capacity clean
+
+all: build
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+demo: build
+	$(BIN)/hornbeam-demo --bin $(BIN)
+
+# test gives one verdict: static checks, model checking, example bundles, unit and process tests.
+test: check models examples unit
+
+check:
+	@test -z "$$(gofmt -l .)" || { gofmt -l .; echo "files above are not gofmt clean"; exit 1; }
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+unit:
+	sh .ci/unit
+
+models:
+	sh spec/check
+
+examples: build
+	$(BIN)/hornbeamctl bundle check examples/ireland.toml examples/srilanka.toml
+
+measure: build
+	$(BIN)/hornbeam-measure --bin $(BIN)
+
+capacity: build
+	$(BIN)/hornbeam-capacity
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,121 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+type echoRequest struct {
+	Text string        `cbor:"1,keyasint"`
+	Wait time.Duration `cbor:"2,keyasint"`
+}
+
+type echoReply struct {
+	Text string `cbor:"1,keyasint"`
+	From string `cbor:"2,keyasint"`
+}
+
+type codedError struct{}
+
+func (codedError) Error() string { return "no room" }
+func (codedError) Code() string  { return "busy" }
+
+func startEcho(t *testing.T, cancelled chan<- struct{}) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewServer("server")
+	Register(s, "echo", func(ctx context.Context, from string, req echoRequest) (echoReply, error) {
+		if req.Text == "busy" {
+			return echoReply{}, codedError{}
+		}
+		select {
+		case <-time.After(req.Wait):
+		case <-ctx.Done():
+			cancelled <- struct{}{}
+		}
+		return echoReply{Text: req.Text, From: from}, nil
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = s.Serve(ctx, l) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return l.Addr().String()
+}
+
+func TestCalls(t *testing.T) {
+	Convey("Given a server and a client", t, func() {
+		cancelled := make(chan struct{}, 1)
+		addr := startEcho(t, cancelled)
+		c := NewClient("client")
+		Reset(c.Close)
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		Reset(cancel)
+
+		Convey("a waiting call does not delay others on the same connection", func() {
+			slow := make(chan error, 1)
+			slowCtx, stop := context.WithCancel(ctx)
+			go func() {
+				_, err := Call[echoRequest, echoReply](slowCtx, c, addr, "echo", echoRequest{Text: "slow", Wait: time.Hour})
+				slow <- err
+			}()
+			got, err := Call[echoRequest, echoReply](ctx, c, addr, "echo", echoRequest{Text: "fast"})
+			So(err, ShouldBeNil)
+			So(got, ShouldResemble, echoReply{Text: "fast", From: "client"})
+			stop()
+			So(<-slow, ShouldEqual, context.Canceled)
+			<-cancelled // guards against handlers that outlive their callers
+		})
+		Convey("replies go to their own callers when many calls cross", func() {
+			var wg sync.WaitGroup
+			wrong := make(chan string, 200)
+			for i := range 200 {
+				text := strings.Repeat("x", i)
+				wg.Go(func() {
+					got, err := Call[echoRequest, echoReply](ctx, c, addr, "echo", echoRequest{Text: text, Wait: time.Duration(i%7) * time.Millisecond})
+					if err != nil || got.Text != text {
+						wrong <- text
+					}
+				})
+			}
+			wg.Wait()
+			So(len(wrong), ShouldEqual, 0)
+		})
+		Convey("a handler error keeps its code", func() {
+			_, err := Call[echoRequest, echoReply](ctx, c, addr, "echo", echoRequest{Text: "busy"})
+			var remote *RemoteError
+			So(err, ShouldHaveSameTypeAs, remote)
+			So(err.(*RemoteError).Code, ShouldEqual, "busy")
+		})
+		Convey("an unknown method and a body of another shape are errors, not crashes", func() {
+			_, err := Call[echoRequest, echoReply](ctx, c, addr, "none", echoRequest{})
+			So(err, ShouldNotBeNil)
+			_, err = Call[string, echoReply](ctx, c, addr, "echo", "text")
+			So(err, ShouldNotBeNil)
+		})
+		Convey("a closed port is told from other failures", func() {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			So(err, ShouldBeNil)
+			closed := l.Addr().String()
+			So(l.Close(), ShouldBeNil)
+			_, err = Call[echoRequest, echoReply](ctx, c, closed, "echo", echoRequest{})
+			So(IsRefused(err), ShouldBeTrue)
+		})
+		Convey("garbage bytes on the port do not stop the server", func() {
+			conn, err := net.Dial("tcp", addr)
+			So(err, ShouldBeNil)
+			_, _ = conn.Write([]byte("GET / HTTP/1.1\r\n\r\n\x00\xff\xff\xff"))
+			_ = conn.Close()
+			_, err = Call[echoRequest, echoReply](ctx, c, addr, "echo", echoRequest{Text: "still here"})
+			So(err, ShouldBeNil)
+		})
+	})
+}
--- /dev/null
+++ b/internal/peer/session.go
@@ -0,0 +1,163 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+)
+
+// session is the opening side of the connection to one address. It ends at
+// the first failure; the client then opens a new one on demand.
+type session struct {
+	addr    string
+	traffic *Traffic
+	onEnd   func(*session)
+	queue   chan *envelope
+	done    chan struct{}
+
+	mu       sync.Mutex
+	nextID   uint64
+	pending  map[uint64]chan *envelope
+	lastRecv time.Time
+	err      error
+}
+
+func newSession(addr string, traffic *Traffic, onEnd func(*session)) *session {
+	return &session{
+		addr: addr, traffic: traffic, onEnd: onEnd,
+		queue:    make(chan *envelope, sendQueueLength),
+		done:     make(chan struct{}),
+		pending:  map[uint64]chan *envelope{},
+		lastRecv: time.Now(),
+	}
+}
+
+// run dials, then sends queued messages until the session ends.
+func (s *session) run() {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	tcp, err := dialer.Dial("tcp", s.addr)
+	if err != nil {
+		s.fail(&DialError{Addr: s.addr, Err: err})
+		return
+	}
+	conn := drpcconn.NewWithOptions(&countedConn{Conn: tcp, traffic: s.traffic}, drpcconn.Options{Manager: managerOptions()})
+	// Closing the TCP connection first unblocks a send to a silent peer.
+	defer func() { _ = tcp.Close(); _ = conn.Close() }()
+	go func() { <-s.done; _ = tcp.Close() }()
+	stream, err := conn.NewStream(context.Background(), streamRPC, cborEncoding{})
+	if err != nil {
+		s.fail(ErrConnectionLost)
+		return
+	}
+	go s.receive(stream)
+	s.send(stream)
+}
+
+func (s *session) send(stream drpc.Stream) {
+	for {
+		select {
+		case env := <-s.queue:
+			if err := stream.MsgSend(env, cborEncoding{}); err != nil {
+				s.fail(ErrConnectionLost)
+				return
+			}
+		case <-s.done:
+			return
+		}
+	}
+}
+
+func (s *session) receive(stream drpc.Stream) {
+	for {
+		env := &envelope{}
+		if err := stream.MsgRecv(env, cborEncoding{}); err != nil {
+			s.fail(ErrConnectionLost)
+			return
+		}
+		s.mu.Lock()
+		s.lastRecv = time.Now()
+		ch := s.pending[env.ID]
+		delete(s.pending, env.ID)
+		s.mu.Unlock()
+		if ch != nil {
+			ch <- env
+		}
+	}
+}
+
+func (s *session) call(ctx context.Context, env *envelope) (*envelope, error) {
+	sent := time.Now()
+	reply := make(chan *envelope, 1)
+	s.mu.Lock()
+	s.nextID++
+	env.ID = s.nextID
+	s.pending[env.ID] = reply
+	s.mu.Unlock()
+	defer s.drop(env.ID)
+	if err := s.enqueue(env); err != nil {
+		return nil, err
+	}
+	select {
+	case r := <-reply:
+		return r, nil
+	case <-s.done:
+		return nil, s.cause()
+	case <-ctx.Done():
+		_ = s.enqueue(&envelope{ID: env.ID, Kind: kindCancel})
+		s.endIfSilent(sent)
+		return nil, ctx.Err()
+	}
+}
+
+// endIfSilent ends the session if nothing has arrived since sent and the call
+// waited long enough to doubt the connection.
+func (s *session) endIfSilent(sent time.Time) {
+	s.mu.Lock()
+	silent := !s.lastRecv.After(sent) && time.Since(sent) >= silenceLimit
+	s.mu.Unlock()
+	if silent {
+		s.fail(ErrConnectionLost)
+	}
+}
+
+func (s *session) enqueue(env *envelope) error {
+	select {
+	case <-s.done:
+		return s.cause()
+	default:
+	}
+	select {
+	case s.queue <- env:
+		return nil
+	default:
+		return ErrQueueFull
+	}
+}
+
+func (s *session) drop(id uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.pending, id)
+}
+
+func (s *session) cause() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.err
+}
+
+func (s *session) fail(err error) {
+	s.mu.Lock()
+	if s.err != nil {
+		s.mu.Unlock()
+		return
+	}
+	s.err = err
+	s.mu.Unlock()
+	close(s.done)
+	s.onEnd(s)
+}
--- /dev/null
+++ b/pkg/bundle/drain.go
@@ -0,0 +1,18 @@
+package bundle
+
+// DrainKind tells what a drain takes out of service.
+type DrainKind string
+
+// Kinds of drains.
+const (
+	DrainTarget DrainKind = "target" // name is the target's IP:port
+	DrainZone   DrainKind = "zone"
+	DrainRegion DrainKind = "region"
+	DrainHost   DrainKind = "host" // an entry host
+)
+
+// Drain keeps new work away from a target, availability zone, region or entry host.
+type Drain struct {
+	Kind DrainKind `toml:"kind"`
+	Name string    `toml:"name"`
+}
--- /dev/null
+++ b/pkg/bundle/link.go
@@ -0,0 +1,8 @@
+package bundle
+
+// Link joins two regions. Its cap holds for each direction and is shared by all traffic.
+type Link struct {
+	Regions       [2]string `toml:"regions"`
+	MbitPerSecond float64   `toml:"mbit_per_second"`
+	LatencyMs     float64   `toml:"latency_ms"` // one way
+}
