--- /dev/null
+++ b/pkg/steer/order.go
@@ -0,0 +1,79 @@
+package steer
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/hornbeamstack/hornbeamstack/pkg/bundle"
+)
+
+// ZoneOrder returns the availability zones in the order in which a request
+// that arrives in zone is to try them: the zone itself, the rest of its region,
+// then other regions by link latency. Drained zones and regions come last, in
+// the same order, so that a caller is still answered if nothing else is left.
+func ZoneOrder(b *bundle.Bundle, zone string) []string {
+	home := regionOf(b, zone)
+	type place struct {
+		name    string
+		drained bool
+		rank    float64 // ms one way; 0 for the own zone
+	}
+	places := make([]place, 0, len(b.Zones))
+	for _, z := range b.Zones {
+		places = append(places, place{z.Name, drained(b, z), latency(b, home, zone, z)})
+	}
+	slices.SortStableFunc(places, func(x, y place) int {
+		if x.drained != y.drained {
+			if x.drained {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(x.rank, y.rank)
+	})
+	names := make([]string, len(places))
+	for i, p := range places {
+		names[i] = p.name
+	}
+	return names
+}
+
+func latency(b *bundle.Bundle, home, zone string, z bundle.AvailabilityZone) float64 {
+	const unlinked = 1e9 // ms; regions without a link come last
+	switch {
+	case z.Name == zone:
+		return 0
+	case z.Region == home:
+		for _, r := range b.Regions {
+			if r.Name == home && r.ZoneLatencyMs > 0 {
+				return r.ZoneLatencyMs
+			}
+		}
+		return 0.5
+	}
+	for _, l := range b.Links {
+		if l.Regions == [2]string{home, z.Region} || l.Regions == [2]string{z.Region, home} {
+			return max(l.LatencyMs, 1)
+		}
+	}
+	return unlinked
+}
+
+func regionOf(b *bundle.Bundle, zone string) string {
+	for _, z := range b.Zones {
+		if z.Name == zone {
+			return z.Region
+		}
+	}
+	return ""
+}
+
+func drained(b *bundle.Bundle, z bundle.AvailabilityZone) bool {
+	return slices.ContainsFunc(b.Drains, func(d bundle.Drain) bool {
+		return d.Kind == bundle.DrainZone && d.Name == z.Name || d.Kind == bundle.DrainRegion && d.Name == z.Region
+	})
+}
+
+func hostDrained(b *bundle.Bundle, host string) bool {
+	return slices.Contains(b.Drains, bundle.Drain{Kind: bundle.DrainHost, Name: host})
+}
--- /dev/null
+++ b/pkg/steer/picker.go
@@ -0,0 +1,152 @@
+package steer
+
+import (
+	"net/netip"
+
+	"github.com/hornbeamstack/hornbeamstack/pkg/bundle"
+)
+
+// lowRoom is the mean spare capacity below which a zone's callers are spread
+// over the next zones in proportion to room instead of staying at home.
+const lowRoom = 0.1
+
+// minWeight keeps a full host reachable, so that its zone never looks empty.
+const minWeight = 0.01
+
+// Picker chooses entry hosts for callers from one state of bundle and hosts.
+type Picker struct {
+	blocks   *Blocks
+	hosts    []bundle.Host
+	zones    []zoneHosts // by zone index
+	orders   [][]uint16  // by zone index: zones to try, usable ones only
+	fallback uint16      // home of callers in no block
+}
+
+// zoneHosts holds the usable entry hosts of a zone.
+type zoneHosts struct {
+	hosts []uint16
+	cum   []float32 // running sum of weights
+	room  float32   // mean
+}
+
+// NewPicker prepares answers. Callers in no block are taken as callers of fallbackZone.
+// Hosts without a state count as silent.
+func NewPicker(b *bundle.Bundle, blocks *Blocks, states map[string]HostState, fallbackZone string) *Picker {
+	p := &Picker{blocks: blocks, zones: make([]zoneHosts, len(blocks.names)), orders: make([][]uint16, len(blocks.names))}
+	p.fallback = blocks.index[fallbackZone]
+	for _, h := range b.Hosts {
+		if h.Role != bundle.RoleEntry {
+			continue
+		}
+		p.hosts = append(p.hosts, h)
+		state, known := states[h.Name]
+		if zone, ok := blocks.index[h.AvailabilityZone]; ok && known && !state.Leaving && !state.Silent && !hostDrained(b, h.Name) {
+			p.zones[zone].add(uint16(len(p.hosts)-1), float32(state.Room))
+		}
+	}
+	for _, z := range b.Zones {
+		zone := blocks.index[z.Name]
+		for _, name := range ZoneOrder(b, z.Name) {
+			if i := blocks.index[name]; len(p.zones[i].hosts) > 0 {
+				p.orders[zone] = append(p.orders[zone], i)
+			}
+		}
+	}
+	return p
+}
+
+// Host returns the host behind an index of an answer.
+func (p *Picker) Host(i int) *bundle.Host { return &p.hosts[i] }
+
+// Pick returns up to four entry hosts in at least two zones, if two have
+// usable hosts. rnd must be uniformly distributed; equal values give equal answers.
+func (p *Picker) Pick(caller netip.Addr, rnd uint64) Answer {
+	home, ok := p.blocks.Home(caller)
+	if !ok || int(home) >= len(p.orders) {
+		home = p.fallback
+	}
+	var a Answer
+	order := p.orders[home]
+	if len(order) == 0 {
+		return a
+	}
+	first := p.firstZone(order, &rnd)
+	second := next(order, first)
+	p.pickIn(order[first], &a, &rnd)
+	p.pickIn(order[second], &a, &rnd)
+	p.pickIn(order[first], &a, &rnd)
+	for i := 0; i < len(order) && a.n < maxHosts; i++ {
+		p.pickIn(order[i], &a, &rnd)
+	}
+	return a
+}
+
+// firstZone stays with the first zone unless it is short of room; then it
+// draws among all zones up to the first one with room, in proportion to room.
+func (p *Picker) firstZone(order []uint16, rnd *uint64) int {
+	if p.zones[order[0]].room >= lowRoom {
+		return 0
+	}
+	var sum float32
+	last := 0
+	for i, z := range order {
+		sum += max(p.zones[z].room, minWeight)
+		last = i
+		if p.zones[z].room >= lowRoom {
+			break
+		}
+	}
+	draw := nextFloat(rnd) * sum
+	for i := 0; i < last; i++ {
+		draw -= max(p.zones[order[i]].room, minWeight)
+		if draw < 0 {
+			return i
+		}
+	}
+	return last
+}
+
+// pickIn adds one host of the zone that the answer does not hold yet.
+func (p *Picker) pickIn(zone uint16, a *Answer, rnd *uint64) {
+	z := &p.zones[zone]
+	if a.n == maxHosts || len(z.hosts) == 0 {
+		return
+	}
+	draw := nextFloat(rnd) * z.cum[len(z.cum)-1]
+	start := 0
+	for start < len(z.cum)-1 && draw >= z.cum[start] {
+		start++
+	}
+	for i := range z.hosts {
+		if h := z.hosts[(start+i)%len(z.hosts)]; !a.has(h) {
+			a.add(h)
+			return
+		}
+	}
+}
+
+func (z *zoneHosts) add(host uint16, room float32) {
+	var sum float32
+	if len(z.cum) > 0 {
+		sum = z.cum[len(z.cum)-1]
+	}
+	z.room = (z.room*float32(len(z.hosts)) + room) / float32(len(z.hosts)+1)
+	z.hosts = append(z.hosts, host)
+	z.cum = append(z.cum, sum+max(room, minWeight))
+}
+
+func next(order []uint16, i int) int {
+	if i > 0 {
+		return 0
+	}
+	return min(1, len(order)-1)
+}
+
+// nextFloat advances a splitmix64 state and returns a value in [0,1).
+func nextFloat(state *uint64) float32 {
+	*state += 0x9e3779b97f4a7c15
+	z := *state
+	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
+	z = (z ^ z>>27) * 0x94d049bb133111eb
+	return float32((z^z>>31)>>40) / (1 << 24)
+}
