Add run-once claims over a quorum of stores

Bookings must run at most once, also when a resend reaches another entry host or a claim store loses its disk.

--- /dev/null
+++ b/internal/claims/client.go
@@ -0,0 +1,187 @@
+package claims
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/peer"
+	"github.com/hornbeamstack/hornbeamstack/pkg/claim"
+)
+
+const (
+	// voteTimeout bounds one vote; a store that is slower counts as unreachable.
+	voteTimeout = time.Second
+	// splitRounds is how often an attempt that met others starts again.
+	splitRounds = 4
+	// splitPause is the longest pause before the second round; it doubles each round.
+	splitPause = 50 * time.Millisecond
+)
+
+// Client claims keys for an entry host.
+type Client struct {
+	host, incarnation string
+	stores            func() []Store
+	transport         transport
+	now               func() time.Time
+	counter           atomic.Uint64
+	reports           *reports
+
+	mu     sync.Mutex
+	active map[claim.Key]bool // keys with an attempt of this process
+}
+
+// NewClient returns the claim client of one run of an entry host.
+func NewClient(host, incarnation string, stores func() []Store, c *peer.Client, now func() time.Time) *Client {
+	return newClient(host, incarnation, stores, peerTransport{c: c}, now)
+}
+
+func newClient(host, incarnation string, stores func() []Store, t transport, now func() time.Time) *Client {
+	return &Client{
+		host: host, incarnation: incarnation, stores: stores, transport: t, now: now,
+		reports: newReports(), active: map[claim.Key]bool{},
+	}
+}
+
+// Begin asks for the right to send the request with this key. It returns
+// either the right, or the recorded answer of an earlier attempt, or a
+// *RefusedError. After any other result than Held nothing will be sent: votes
+// that were given, or still arrive, are withdrawn in the background.
+func (c *Client) Begin(ctx context.Context, service, key string) (*Held, *claim.Answer, error) {
+	k, err := claim.ParseKey(service, key)
+	if err != nil {
+		return nil, nil, &RefusedError{Outcome: OutcomeNotRun, Code: "claim-bad-key", Message: err.Error()}
+	}
+	// One attempt per key at a time: stores rely on it when they remember releases.
+	if !c.reserve(k) {
+		return nil, nil, refused(claim.InProgress)
+	}
+	h, answer, err := c.rounds(ctx, k)
+	if h == nil {
+		c.free(k)
+	}
+	return h, answer, err
+}
+
+// Drain waits until all results and withdrawals have reached the stores, or ctx ends.
+func (c *Client) Drain(ctx context.Context) error { return c.reports.drain(ctx) }
+
+// rounds tries again after collisions, until one attempt wins.
+func (c *Client) rounds(ctx context.Context, k claim.Key) (*Held, *claim.Answer, error) {
+	pause := splitPause
+	for round := 1; ; round++ {
+		a := claim.Attempt{Host: c.host, Incarnation: c.incarnation, Counter: c.counter.Add(1)}
+		stores := c.stores()
+		p := claim.NewProposer(a, names(stores))
+		c.collect(ctx, p, k, a, stores)
+		switch p.Decision() {
+		case claim.MaySend:
+			return newHeld(c, k, a, stores), nil, nil
+		case claim.Replay:
+			c.withdraw(p, k, a, stores)
+			return nil, p.Answer(), nil
+		}
+		withdrawn := c.withdraw(p, k, a, stores)
+		if p.Decision() != claim.Split || round == splitRounds || !wait(ctx, withdrawn, pause) {
+			return nil, nil, refused(p.Decision())
+		}
+		pause *= 2
+	}
+}
+
+// collect asks all stores for their votes until the proposer decides.
+func (c *Client) collect(ctx context.Context, p *claim.Proposer, k claim.Key, a claim.Attempt, stores []Store) {
+	type result struct {
+		store string
+		reply claim.VoteReply
+		err   error
+	}
+	// Votes go on after the decision, so that as many stores as possible know the owner.
+	voteCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), voteTimeout)
+	results := make(chan result, len(stores))
+	var wg sync.WaitGroup
+	for _, s := range stores {
+		wg.Go(func() {
+			reply, err := c.transport.vote(voteCtx, s, claim.VoteRequest{Key: k, Attempt: a})
+			results <- result{store: s.Name, reply: reply, err: err}
+		})
+	}
+	go func() { wg.Wait(); cancel() }()
+	for range stores {
+		select {
+		case r := <-results:
+			if r.err != nil || r.reply.Store != r.store {
+				p.Fail(r.store)
+			} else {
+				p.Reply(r.reply)
+			}
+		case <-ctx.Done():
+			p.GiveUp()
+		}
+		if p.Decision() != claim.Waiting {
+			return
+		}
+	}
+	p.GiveUp()
+}
+
+// withdraw releases an attempt that will never send. The channel closes when
+// every store has answered once.
+func (c *Client) withdraw(p *claim.Proposer, k claim.Key, a claim.Attempt, stores []Store) <-chan struct{} {
+	var to []Store
+	for _, name := range p.Release() {
+		for _, s := range stores {
+			if s.Name == name {
+				to = append(to, s)
+			}
+		}
+	}
+	return c.release(k, a, to)
+}
+
+func (c *Client) release(k claim.Key, a claim.Attempt, to []Store) <-chan struct{} {
+	return c.reports.send(to, reportBytes, func(ctx context.Context, s Store) error {
+		return c.transport.release(ctx, s, claim.ReleaseRequest{Key: k, Attempt: a})
+	})
+}
+
+func (c *Client) reserve(k claim.Key) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.active[k] {
+		return false
+	}
+	c.active[k] = true
+	return true
+}
+
+func (c *Client) free(k claim.Key) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.active, k)
+}
+
+// wait returns false if ctx ends before the withdrawal and a random pause.
+func wait(ctx context.Context, withdrawn <-chan struct{}, pause time.Duration) bool {
+	select {
+	case <-withdrawn:
+	case <-ctx.Done():
+		return false
+	}
+	select {
+	case <-time.After(rand.N(pause)):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func names(stores []Store) []string {
+	out := make([]string, len(stores))
+	for i, s := range stores {
+		out[i] = s.Name
+	}
+	return out
+}
--- /dev/null
+++ b/internal/claims/held.go
@@ -0,0 +1,95 @@
+package claims
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/pkg/claim"
+)
+
+// Held is the right of one attempt to send, once. Exactly one of Finish,
+// Release and Unknown ends it; later calls do nothing.
+type Held struct {
+	client  *Client
+	key     claim.Key
+	attempt claim.Attempt
+	stores  []Store
+
+	mu    sync.Mutex
+	ended bool
+	renew *time.Timer
+}
+
+func newHeld(c *Client, k claim.Key, a claim.Attempt, stores []Store) *Held {
+	h := &Held{client: c, key: k, attempt: a, stores: stores}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.renew = time.AfterFunc(claim.RenewInterval, h.renewOnce)
+	return h
+}
+
+// Finish records the answer on all stores, in the background. A body over claim.MaxBody is left out.
+func (h *Held) Finish(a claim.Answer) {
+	if len(a.Body) > claim.MaxBody {
+		a.Body, a.BodyDropped = nil, true
+	}
+	h.report(&a)
+}
+
+// Unknown says that the request was sent and its result is not known.
+func (h *Held) Unknown() { h.report(nil) }
+
+// Release gives the attempt up for good: nothing was sent, or the target
+// refused it in its documented way. The key may be used again.
+func (h *Held) Release() {
+	if h.end() {
+		h.client.release(h.key, h.attempt, h.stores)
+		h.client.free(h.key)
+	}
+}
+
+func (h *Held) report(answer *claim.Answer) {
+	if !h.end() {
+		return
+	}
+	size := reportBytes
+	if answer != nil {
+		size += len(answer.Body)
+	}
+	req := claim.FinishRequest{Key: h.key, Attempt: h.attempt, Answer: answer}
+	h.client.reports.send(h.stores, size, func(ctx context.Context, s Store) error {
+		return h.client.transport.finish(ctx, s, req)
+	})
+	h.client.free(h.key)
+}
+
+func (h *Held) end() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.ended {
+		return false
+	}
+	h.ended = true
+	h.renew.Stop()
+	return true
+}
+
+// renewOnce tells the stores that the owner is at work, and arms the next renewal.
+func (h *Held) renewOnce() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.ended {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), claim.RenewInterval)
+	var wg sync.WaitGroup
+	for _, s := range h.stores {
+		wg.Go(func() {
+			// A lost renewal is made up for by the next one.
+			_, _ = h.client.transport.read(ctx, s, claim.ReadRequest{Key: h.key, Renew: &h.attempt})
+		})
+	}
+	go func() { wg.Wait(); cancel() }()
+	h.renew.Reset(claim.RenewInterval)
+}
--- /dev/null
+++ b/internal/claims/journal.go
@@ -0,0 +1,124 @@
+package claims
+
+import (
+	"fmt"
+	"sync"
+)
+
+const (
+	// maxBatchBytes bounds the records of one sync, so that a burst of large answers does not delay votes for long.
+	maxBatchBytes = 4 << 20
+)
+
+// journal writes records to the log in the order of add, many with one sync.
+type journal struct {
+	log Log
+
+	mu     sync.Mutex
+	queue  [][]byte
+	added  uint64 // index of the last record that was added
+	synced uint64 // index of the last record on disk
+	failed error
+	closed bool
+	wake   *sync.Cond // records were added, or close
+	done   *sync.Cond // records were synced, or failure
+
+	ended chan struct{}
+}
+
+func newJournal(log Log, last uint64) *journal {
+	j := &journal{log: log, added: last, synced: last, ended: make(chan struct{})}
+	j.wake, j.done = sync.NewCond(&j.mu), sync.NewCond(&j.mu)
+	go j.run()
+	return j
+}
+
+// add queues a record and returns its index.
+func (j *journal) add(record []byte) uint64 {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.queue = append(j.queue, record)
+	j.added++
+	j.wake.Signal()
+	return j.added
+}
+
+// wait returns once the record with this index is on disk.
+func (j *journal) wait(index uint64) error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for j.synced < index && j.failed == nil && !j.closed {
+		j.done.Wait()
+	}
+	if j.synced >= index {
+		return nil
+	}
+	if j.failed != nil {
+		return fmt.Errorf("claim log has failed: %w", j.failed)
+	}
+	return errStopped
+}
+
+// last returns the index of the last synced record.
+func (j *journal) last() uint64 {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.synced
+}
+
+func (j *journal) close() {
+	j.mu.Lock()
+	j.closed = true
+	j.wake.Signal()
+	j.done.Broadcast()
+	j.mu.Unlock()
+	<-j.ended
+}
+
+func (j *journal) run() {
+	defer close(j.ended)
+	for {
+		first, batch := j.take()
+		if batch == nil {
+			return
+		}
+		err := j.log.Append(first, batch)
+		if !j.written(uint64(len(batch)), err) {
+			return
+		}
+	}
+}
+
+// take waits for records and returns as many as fit into one batch.
+func (j *journal) take() (first uint64, batch [][]byte) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for len(j.queue) == 0 && !j.closed {
+		j.wake.Wait()
+	}
+	if j.closed {
+		return 0, nil
+	}
+	n, size := 0, 0
+	for n < len(j.queue) && (n == 0 || size+len(j.queue[n]) <= maxBatchBytes) {
+		size += len(j.queue[n])
+		n++
+	}
+	batch = j.queue[:n:n]
+	j.queue = j.queue[n:]
+	return j.synced + 1, batch
+}
+
+// written notes the result of a batch. After a failure nothing is written any
+// more: memory is ahead of the disk, so no later reply may be trusted.
+func (j *journal) written(n uint64, err error) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if err != nil {
+		j.failed = err
+	} else {
+		j.synced += n
+	}
+	j.done.Broadcast()
+	return err == nil
+}
--- /dev/null
+++ b/internal/claims/reports.go
@@ -0,0 +1,107 @@
+package claims
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+const (
+	// reportTimeout bounds one try to report to a store.
+	reportTimeout = time.Second
+	// reportBytes is the memory of a report without its body.
+	reportBytes = 512
+	// backlogBytes bounds the reports that wait for one unreachable store. The
+	// oldest are dropped beyond it; the other stores have them.
+	backlogBytes = 2 << 20
+	// backlogSenders is the number of concurrent tries per store.
+	backlogSenders = 16
+	// backlogPause is the time between tries of an unreachable store.
+	backlogPause = 250 * time.Millisecond
+)
+
+// report is a result or withdrawal that one store has not acknowledged.
+type report struct {
+	size int
+	send func(context.Context) error
+}
+
+// reports delivers results and withdrawals, with repeats until the store acknowledges.
+type reports struct {
+	mu       sync.Mutex
+	backlogs map[string]*backlog // by address
+	open     int                 // reports neither acknowledged nor dropped
+	dropped  int
+	idle     *sync.Cond
+}
+
+func newReports() *reports {
+	r := &reports{backlogs: map[string]*backlog{}}
+	r.idle = sync.NewCond(&r.mu)
+	return r
+}
+
+// send tries all stores at once; failed tries are repeated in the background.
+// The channel closes when every store has been tried once.
+func (r *reports) send(to []Store, size int, f func(context.Context, Store) error) <-chan struct{} {
+	r.mu.Lock()
+	r.open += len(to)
+	r.mu.Unlock()
+	tried := make(chan struct{})
+	var wg sync.WaitGroup
+	for _, s := range to {
+		rep := report{size: size, send: func(ctx context.Context) error { return f(ctx, s) }}
+		wg.Go(func() {
+			if rep.try() {
+				r.closed(1, 0)
+				return
+			}
+			r.backlog(s.Peer).add(rep)
+		})
+	}
+	go func() { wg.Wait(); close(tried) }()
+	return tried
+}
+
+func (rep report) try() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+	defer cancel()
+	return rep.send(ctx) == nil
+}
+
+func (r *reports) closed(n, dropped int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.open -= n
+	r.dropped += dropped
+	if r.open == 0 {
+		r.idle.Broadcast()
+	}
+}
+
+func (r *reports) backlog(addr string) *backlog {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b, ok := r.backlogs[addr]
+	if !ok {
+		b = &backlog{reports: r}
+		r.backlogs[addr] = b
+	}
+	return b
+}
+
+// drain waits until nothing is open, or ctx ends.
+func (r *reports) drain(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.idle.Broadcast()
+	})
+	defer stop()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for r.open > 0 && ctx.Err() == nil {
+		r.idle.Wait()
+	}
+	return ctx.Err()
+}
--- /dev/null
+++ b/internal/claims/transport.go
@@ -0,0 +1,37 @@
+package claims
+
+import (
+	"context"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/peer"
+	"github.com/hornbeamstack/hornbeamstack/pkg/claim"
+)
+
+// transport carries the messages of a Client to one store.
+type transport interface {
+	vote(ctx context.Context, to Store, req claim.VoteRequest) (claim.VoteReply, error)
+	finish(ctx context.Context, to Store, req claim.FinishRequest) error
+	release(ctx context.Context, to Store, req claim.ReleaseRequest) error
+	read(ctx context.Context, to Store, req claim.ReadRequest) (claim.VoteReply, error)
+}
+
+// peerTransport is the transport between processes.
+type peerTransport struct{ c *peer.Client }
+
+func (t peerTransport) vote(ctx context.Context, to Store, req claim.VoteRequest) (claim.VoteReply, error) {
+	return peer.Call[claim.VoteRequest, claim.VoteReply](ctx, t.c, to.Peer, "claim.vote", req)
+}
+
+func (t peerTransport) finish(ctx context.Context, to Store, req claim.FinishRequest) error {
+	_, err := peer.Call[claim.FinishRequest, claim.Ack](ctx, t.c, to.Peer, "claim.finish", req)
+	return err
+}
+
+func (t peerTransport) release(ctx context.Context, to Store, req claim.ReleaseRequest) error {
+	_, err := peer.Call[claim.ReleaseRequest, claim.Ack](ctx, t.c, to.Peer, "claim.release", req)
+	return err
+}
+
+func (t peerTransport) read(ctx context.Context, to Store, req claim.ReadRequest) (claim.VoteReply, error) {
+	return peer.Call[claim.ReadRequest, claim.VoteReply](ctx, t.c, to.Peer, "claim.read", req)
+}
--- /dev/null
+++ b/pkg/claim/message.go
@@ -0,0 +1,59 @@
+package claim
+
+// Verdict is a store's reply to a vote request.
+type Verdict uint8
+
+// Verdicts.
+const (
+	Granted     Verdict = iota + 1 // the store voted for the attempt
+	Held                           // the store voted for another attempt
+	HasResult                      // the result is recorded in the reply
+	WasReleased                    // the attempt itself has been given up
+	TooOld                         // the key's timestamp is out of its lifetime
+	TooNew                         // the key's timestamp is in the future
+	NotReady                       // the store lost its disk and has not copied yet
+)
+
+// VoteRequest asks a store for its vote.
+type VoteRequest struct {
+	Key     Key     `cbor:"1,keyasint"`
+	Attempt Attempt `cbor:"2,keyasint"`
+}
+
+// VoteReply answers a VoteRequest.
+type VoteReply struct {
+	Store   string    `cbor:"1,keyasint"`
+	Fence   Fence     `cbor:"2,keyasint"`
+	Verdict Verdict   `cbor:"3,keyasint"`
+	Owners  []Attempt `cbor:"4,keyasint,omitempty"`
+	// Recent is set if an owner has voted or renewed within RecentLimit.
+	Recent bool             `cbor:"5,keyasint,omitempty"`
+	Result Result           `cbor:"6,keyasint,omitempty"`
+	Answer *Answer          `cbor:"7,keyasint,omitempty"`
+	Known  map[string]Fence `cbor:"8,keyasint,omitempty"` // the fences of stores that replaced a lost disk
+}
+
+// FinishRequest records the result of the attempt that had the right to send.
+type FinishRequest struct {
+	Key     Key     `cbor:"1,keyasint"`
+	Attempt Attempt `cbor:"2,keyasint"`
+	Answer  *Answer `cbor:"3,keyasint,omitempty"` // nil: the result is not known
+}
+
+// ReleaseRequest gives up an attempt for good.
+type ReleaseRequest struct {
+	Key     Key     `cbor:"1,keyasint"`
+	Attempt Attempt `cbor:"2,keyasint"`
+}
+
+// ReadRequest asks for the record of a key without voting.
+type ReadRequest struct {
+	Key Key `cbor:"1,keyasint"`
+	// Renew is set by an owner to show that it is still at work.
+	Renew *Attempt `cbor:"2,keyasint,omitempty"`
+}
+
+// Ack confirms that a change is on disk.
+type Ack struct {
+	Store string `cbor:"1,keyasint"`
+}
--- /dev/null
+++ b/pkg/claim/record.go
@@ -0,0 +1,77 @@
+package claim
+
+import "slices"
+
+// Result tells how far the request of a key has come.
+type Result uint8
+
+// Results of a key.
+const (
+	Open      Result = iota // votes only
+	Done                    // the target answered
+	Uncertain               // sent, and the result is not known
+)
+
+// Record is what a store keeps of one key. Records are immutable: a change makes a new one.
+type Record struct {
+	// Owners holds the attempts that the store must assume to be voted for. A
+	// vote makes one; more come only from copies, and then none is granted.
+	Owners []Attempt `cbor:"1,keyasint,omitempty"`
+	// Released holds the highest given up counter of each process; attempts
+	// at a key by one process follow one another, so lower ones have ended too.
+	Released []Attempt `cbor:"2,keyasint,omitempty"`
+	Result   Result    `cbor:"3,keyasint,omitempty"`
+	Answer   *Answer   `cbor:"4,keyasint,omitempty"`
+}
+
+// released reports whether the attempt has been given up.
+func (r *Record) released(a Attempt) bool {
+	return slices.ContainsFunc(r.Released, func(b Attempt) bool {
+		return a.sameProcess(b) && a.Counter <= b.Counter
+	})
+}
+
+// withOwner returns the record with a as a further owner, unless a has been released.
+func (r *Record) withOwner(a Attempt) *Record {
+	if r.released(a) || slices.Contains(r.Owners, a) {
+		return r
+	}
+	next := *r
+	next.Owners = append(slices.Clone(r.Owners), a)
+	return &next
+}
+
+// withRelease returns the record after a has been given up.
+func (r *Record) withRelease(a Attempt) *Record {
+	if r.released(a) {
+		return r
+	}
+	next := *r
+	next.Released = slices.DeleteFunc(slices.Clone(r.Released), a.sameProcess)
+	next.Released = append(next.Released, a)
+	next.Owners = slices.DeleteFunc(slices.Clone(r.Owners), next.released)
+	return &next
+}
+
+// withResult returns the record after the owner reported its result.
+func (r *Record) withResult(a Attempt, result Result, answer *Answer) *Record {
+	next := *r
+	next.Owners = []Attempt{a}
+	next.Result, next.Answer = result, answer
+	return &next
+}
+
+// merged joins the copy of another store into the record.
+func (r *Record) merged(o *Record) *Record {
+	next := r
+	for _, a := range o.Released {
+		next = next.withRelease(a)
+	}
+	for _, a := range o.Owners {
+		next = next.withOwner(a)
+	}
+	if o.Result == Done && r.Result != Done || o.Result == Uncertain && r.Result == Open {
+		next = next.withResult(o.Owners[0], o.Result, o.Answer)
+	}
+	return next
+}
--- /dev/null
+++ b/pkg/claim/register.go
@@ -0,0 +1,147 @@
+package claim
+
+import (
+	"time"
+	"unique"
+)
+
+// entry is a record with the time its owner was last heard of. The time is
+// not persisted: after a restart owners count as silent until they renew.
+type entry struct {
+	record *Record
+	seen   time.Time
+}
+
+// Register holds the records of a set of keys. It is not safe for concurrent use.
+type Register struct {
+	entries map[Key]entry
+}
+
+var noRecord = &Record{}
+
+// NewRegister returns an empty register.
+func NewRegister() *Register { return &Register{entries: map[Key]entry{}} }
+
+// Len returns the number of records.
+func (r *Register) Len() int { return len(r.entries) }
+
+// Record returns the record of a key, or nil.
+func (r *Register) Record(k Key) *Record { return r.entries[k].record }
+
+func (r *Register) get(k Key) *Record {
+	if e, ok := r.entries[k]; ok {
+		return e.record
+	}
+	return noRecord
+}
+
+// Vote grants the key to the attempt if no other attempt may hold it. A
+// record with a result never changes its owner again.
+func (r *Register) Vote(now time.Time, k Key, a Attempt) (VoteReply, *Mutation) {
+	rec := r.get(k)
+	switch {
+	case rec.Result != Open:
+		return r.Read(now, k), nil
+	case rec.released(a):
+		return VoteReply{Verdict: WasReleased}, nil
+	case len(rec.Owners) == 0:
+		a.Host, a.Incarnation = unique.Make(a.Host).Value(), unique.Make(a.Incarnation).Value()
+		return VoteReply{Verdict: Granted}, r.put(now, k, rec.withOwner(a))
+	case len(rec.Owners) == 1 && rec.Owners[0] == a:
+		r.touch(now, k)
+		return VoteReply{Verdict: Granted}, nil
+	}
+	return r.Read(now, k), nil
+}
+
+// Finish records the result of the owner; only an owner that had the right
+// to send reports one, so it stands whatever this store voted for. A known
+// answer replaces an uncertain result.
+func (r *Register) Finish(now time.Time, k Key, a Attempt, answer *Answer) *Mutation {
+	rec := r.get(k)
+	switch {
+	case rec.Result == Done, rec.Result == Uncertain && answer == nil:
+		return nil
+	case answer == nil:
+		return r.put(now, k, rec.withResult(a, Uncertain, nil))
+	}
+	return r.put(now, k, rec.withResult(a, Done, answer))
+}
+
+// Release gives up an attempt. It is remembered even if this store has not
+// voted for it, so that a vote request that arrives later is refused.
+func (r *Register) Release(now time.Time, k Key, a Attempt) *Mutation {
+	rec := r.get(k)
+	next := rec.withRelease(a)
+	if rec.Result != Open || next == rec {
+		return nil
+	}
+	return r.put(now, k, next)
+}
+
+// Renew notes that an owner is at work.
+func (r *Register) Renew(now time.Time, k Key, a Attempt) {
+	if e, ok := r.entries[k]; ok && e.record.Result == Open && len(e.record.Owners) == 1 && e.record.Owners[0] == a {
+		r.touch(now, k)
+	}
+}
+
+// Read returns the holder or the result of a key.
+func (r *Register) Read(now time.Time, k Key) VoteReply {
+	e, ok := r.entries[k]
+	if !ok {
+		return VoteReply{}
+	}
+	reply := VoteReply{Owners: e.record.Owners, Result: e.record.Result, Answer: e.record.Answer}
+	switch {
+	case e.record.Result != Open:
+		reply.Verdict = HasResult
+	case len(e.record.Owners) > 0:
+		reply.Verdict = Held
+		reply.Recent = !e.seen.IsZero() && now.Sub(e.seen) < RecentLimit
+	}
+	return reply
+}
+
+// Merge joins a record of another store and returns the change, if any.
+func (r *Register) Merge(k Key, o *Record) *Mutation {
+	rec := r.get(k)
+	next := rec.merged(o)
+	if next == rec {
+		return nil
+	}
+	return r.put(time.Time{}, k, next)
+}
+
+// Set replaces a record when the log is replayed.
+func (r *Register) Set(k Key, rec *Record) { r.put(time.Time{}, k, rec) }
+
+// Drop removes the records of keys with a timestamp before horizon. The
+// caller has synced the horizon at the gate first.
+func (r *Register) Drop(horizon time.Time) int {
+	before := len(r.entries)
+	for k := range r.entries {
+		if k.Time().Before(horizon) {
+			delete(r.entries, k)
+		}
+	}
+	return before - len(r.entries)
+}
+
+// Each calls f for every record.
+func (r *Register) Each(f func(Key, *Record)) {
+	for k, e := range r.entries {
+		f(k, e.record)
+	}
+}
+
+func (r *Register) put(now time.Time, k Key, rec *Record) *Mutation {
+	r.entries[k] = entry{record: rec, seen: now}
+	return &Mutation{Key: &k, Record: rec}
+}
+
+func (r *Register) touch(now time.Time, k Key) {
+	e := r.entries[k]
+	e.seen = now
+	r.entries[k] = e
+}
