--- /dev/null
+++ b/pkg/link/limits.go
@@ -0,0 +1,36 @@
+package link
+
+import "time"
+
+const (
+	// LeaseDuration is how long a share is leased, from the moment its request was sent.
+	LeaseDuration = 2 * time.Second
+	// LeaseUse is the part of LeaseDuration that the holder uses; the rest covers clock drift.
+	LeaseUse = LeaseDuration * 9 / 10
+	// RenewInterval is the time between lease requests of a host.
+	RenewInterval = 500 * time.Millisecond
+	// LeaderWait is how long a new leader leases nothing, until all leases of
+	// the previous one have expired; the margin covers clock drift.
+	LeaderWait = LeaseDuration + 200*time.Millisecond
+	// Window is the time over which the cap must hold.
+	Window = 100 * time.Millisecond
+)
+
+const (
+	// floorPart of the cap is split evenly among the hosts without a lease.
+	floorPart = 0.10
+	// reservePart of the cap is kept for headers and system messages.
+	reservePart = 0.05
+	// burstPart of a window's bytes may pass at once; the rate is lowered by it.
+	burstPart = 0.10
+)
+
+// Floor returns the share that each host has without a lease, in bytes per second.
+func Floor(capBytesPerSecond float64, hosts int) float64 {
+	return capBytesPerSecond * floorPart / float64(max(hosts, 1))
+}
+
+// Pool returns the part of the cap that is leased, in bytes per second.
+func Pool(capBytesPerSecond float64) float64 {
+	return capBytesPerSecond * (1 - floorPart - reservePart)
+}
--- /dev/null
+++ b/pkg/link/message.go
@@ -0,0 +1,18 @@
+package link
+
+// LeaseRequest asks the leader for shares of all routes of a host.
+type LeaseRequest struct {
+	Host string `cbor:"1,keyasint"`
+	Asks []Ask  `cbor:"2,keyasint"`
+}
+
+// Ask is a host's demand on one route.
+type Ask struct {
+	Route  Route   `cbor:"1,keyasint"`
+	Demand float64 `cbor:"2,keyasint"` // bytes per second
+}
+
+// LeaseReply holds the leased shares in the order of the asks.
+type LeaseReply struct {
+	Shares []float64 `cbor:"1,keyasint"` // bytes per second above the floor
+}
