--- a/internal/claims/client.go
+++ b/internal/claims/client.go
@@ -14,6 +14,10 @@
 const (
 	// voteTimeout bounds one vote; a store that is slower counts as unreachable.
 	voteTimeout = time.Second
+	// attemptLimit is the age at which an attempt no longer takes the right to
+	// send. A host that froze during Begin must not run a request long after a
+	// resend of it has been answered "not run".
+	attemptLimit = 3 * time.Second
 	// splitRounds is how often an attempt that met others starts again.
 	splitRounds = 4
 	// splitPause is the longest pause before the second round; it doubles each round.
@@ -49,7 +53,21 @@
 // either the right, or the recorded answer of an earlier attempt, or a
 // *RefusedError. After any other result than Held nothing will be sent: votes
 // that were given, or still arrive, are withdrawn in the background.
+//
+// "Not run" for too few reachable stores is true of this attempt only. For a
+// request that the caller says it has sent before, use BeginResend.
 func (c *Client) Begin(ctx context.Context, service, key string) (*Held, *claim.Answer, error) {
+	return c.begin(ctx, service, key, false)
+}
+
+// BeginResend is Begin for a request that the caller has sent before without
+// a definite answer. Without a majority of stores nobody can tell whether the
+// earlier attempt ran, so the refusal says "unknown" then.
+func (c *Client) BeginResend(ctx context.Context, service, key string) (*Held, *claim.Answer, error) {
+	return c.begin(ctx, service, key, true)
+}
+
+func (c *Client) begin(ctx context.Context, service, key string, resend bool) (*Held, *claim.Answer, error) {
 	k, err := claim.ParseKey(service, key)
 	if err != nil {
 		return nil, nil, &RefusedError{Outcome: OutcomeNotRun, Code: "claim-bad-key", Message: err.Error()}
@@ -58,34 +76,41 @@
 	if !c.reserve(k) {
 		return nil, nil, refused(claim.InProgress)
 	}
-	h, answer, err := c.rounds(ctx, k)
+	h, answer, decision := c.rounds(ctx, k)
 	if h == nil {
 		c.free(k)
 	}
-	return h, answer, err
+	if h != nil || answer != nil {
+		return h, answer, nil
+	}
+	refusal := refused(decision)
+	if resend && decision == claim.NotRun {
+		refusal.Outcome = OutcomeUnknown
+	}
+	return nil, nil, refusal
 }
 
 // Drain waits until all results and withdrawals have reached the stores, or ctx ends.
 func (c *Client) Drain(ctx context.Context) error { return c.reports.drain(ctx) }
 
 // rounds tries again after collisions, until one attempt wins.
-func (c *Client) rounds(ctx context.Context, k claim.Key) (*Held, *claim.Answer, error) {
-	pause := splitPause
+func (c *Client) rounds(ctx context.Context, k claim.Key) (*Held, *claim.Answer, claim.Decision) {
+	pause, start := splitPause, c.now()
 	for round := 1; ; round++ {
 		a := claim.Attempt{Host: c.host, Incarnation: c.incarnation, Counter: c.counter.Add(1)}
 		stores := c.stores()
 		p := claim.NewProposer(a, names(stores))
 		c.collect(ctx, p, k, a, stores)
-		switch p.Decision() {
-		case claim.MaySend:
-			return newHeld(c, k, a, stores), nil, nil
-		case claim.Replay:
-			c.withdraw(p, k, a, stores)
-			return nil, p.Answer(), nil
+		decision := p.Decision()
+		if decision == claim.MaySend {
+			if ctx.Err() == nil && c.now().Sub(start) < attemptLimit {
+				return newHeld(c, k, a, stores), nil, decision
+			}
+			decision = claim.NotRun
 		}
 		withdrawn := c.withdraw(p, k, a, stores)
-		if p.Decision() != claim.Split || round == splitRounds || !wait(ctx, withdrawn, pause) {
-			return nil, nil, refused(p.Decision())
+		if decision != claim.Split || round == splitRounds || !wait(ctx, withdrawn, pause) {
+			return nil, p.Answer(), decision
 		}
 		pause *= 2
 	}
--- a/internal/claims/copy.go
+++ b/internal/claims/copy.go
@@ -39,23 +39,24 @@
 	return peer.Call[claim.CopyRequest, claim.CopyReply](ctx, s.o.Peers, to.Peer, "claim.copy", req)
 }
 
-// copyFrom takes over all records of a store that has recorded our fence.
-func (s *StoreService) copyFrom(ctx context.Context, from Store, fence claim.Fence) error {
-	var source claim.Fence
+// copyFrom takes over all records of a store that has recorded our fence, and
+// returns the last page.
+func (s *StoreService) copyFrom(ctx context.Context, from Store, fence claim.Fence) (claim.CopyReply, error) {
+	var last claim.CopyReply
 	for page, pages := 0, 1; page < pages; page++ {
 		reply, err := s.askCopy(ctx, from, claim.CopyRequest{Store: s.o.Name, Fence: fence, Step: claim.CopyPage, Page: page})
 		if err != nil {
-			return err
+			return last, err
 		}
-		if page > 0 && reply.Fence != source {
-			return fmt.Errorf("store %s lost its disk during the copy", from.Name)
+		if page > 0 && reply.Fence != last.Fence {
+			return last, fmt.Errorf("store %s lost its disk during the copy", from.Name)
 		}
-		source, pages = reply.Fence, reply.Pages
 		if err := s.take(reply); err != nil {
-			return err
+			return last, err
 		}
+		last, pages = reply, reply.Pages
 	}
-	return nil
+	return last, nil
 }
 
 // take merges one page and waits until it is on disk.
--- a/internal/claims/service.go
+++ b/internal/claims/service.go
@@ -58,9 +58,6 @@
 	if err := s.restore(o.Recovered); err != nil {
 		return nil, err
 	}
-	for _, sh := range s.shards {
-		sh.store.Gate = s.gate
-	}
 	s.snapshotAt.Store(o.Recovered.SnapshotIndex)
 	s.journal = newJournal(o.Log, o.Recovered.LastIndex)
 	return s, s.changeGate(func(g *claim.Gate) *claim.Mutation { return g.Mutation() })
--- a/internal/claims/snapshot.go
+++ b/internal/claims/snapshot.go
@@ -3,26 +3,20 @@
 import (
 	"fmt"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/hornbeamstack/hornbeamstack/pkg/claim"
 )
 
-// snapshot is the whole state of a store.
-type snapshot struct {
-	Gate    claim.GateState   `cbor:"1,keyasint"`
-	Records []claim.KeyRecord `cbor:"2,keyasint"`
-}
-
 // restore rebuilds the state from a snapshot and the records after it. A
 // record may already be part of the snapshot; setting it again does no harm.
 func (s *StoreService) restore(r *Recovered) error {
-	s.gate = claim.NewGate(s.o.Name, r.Incarnation, s.o.Now())
+	now := s.o.Now()
+	state := claim.NewGate(s.o.Name, r.Incarnation, now).State()
 	if len(r.Snapshot) > 0 {
-		var snap snapshot
-		if err := cbor.Unmarshal(r.Snapshot, &snap); err != nil {
+		snap, err := claim.DecodeSnapshot(r.Snapshot)
+		if err != nil {
 			return fmt.Errorf("decode claim snapshot at index %d: %w", r.SnapshotIndex, err)
 		}
-		s.gate = claim.RestoreGate(s.o.Name, snap.Gate)
+		state = snap.Gate
 		for _, kr := range snap.Records {
 			s.set(kr.Key, kr.Record)
 		}
@@ -33,13 +27,15 @@
 			return fmt.Errorf("decode claim record %d after index %d: %w", i, r.SnapshotIndex, err)
 		}
 		if m.Gate != nil {
-			s.gate = claim.RestoreGate(s.o.Name, *m.Gate)
+			state = *m.Gate
 		}
 		if m.Key != nil && m.Record != nil {
 			s.set(*m.Key, m.Record)
 		}
 	}
+	s.gate = claim.RestoreGate(s.o.Name, state, now)
 	for _, sh := range s.shards {
+		sh.store.Gate = s.gate
 		sh.store.Register.Drop(s.gate.Horizon())
 	}
 	return nil
@@ -53,16 +49,16 @@
 // index, so it may contain later records too, which are then replayed again.
 func (s *StoreService) saveSnapshot() error {
 	index := s.journal.last()
-	var snap snapshot
+	var snap claim.Snapshot
 	s.gateMu.RLock()
-	snap.Gate = *s.gate.Mutation().Gate
+	snap.Gate = s.gate.State()
 	s.gateMu.RUnlock()
 	for _, sh := range s.shards {
 		sh.mu.Lock()
 		snap.Records = append(snap.Records, sh.store.Records()...)
 		sh.mu.Unlock()
 	}
-	data, err := cbor.Marshal(&snap)
+	data, err := snap.Encode()
 	if err != nil {
 		return fmt.Errorf("encode claim snapshot: %w", err)
 	}
--- a/pkg/claim/attempt.go
+++ b/pkg/claim/attempt.go
@@ -1,6 +1,9 @@
 package claim
 
-import "fmt"
+import (
+	"fmt"
+	"unique"
+)
 
 // Attempt names one try of an entry host to get the right to send for a key.
 // A process counts its attempts upwards and tries a key only after its
@@ -17,3 +20,10 @@
 func (a Attempt) sameProcess(b Attempt) bool {
 	return a.Host == b.Host && a.Incarnation == b.Incarnation
 }
+
+// interned returns the attempt with shared strings: a store holds millions of
+// attempts of a few processes.
+func (a Attempt) interned() Attempt {
+	a.Host, a.Incarnation = unique.Make(a.Host).Value(), unique.Make(a.Incarnation).Value()
+	return a
+}
--- a/pkg/claim/copy.go
+++ b/pkg/claim/copy.go
@@ -41,7 +41,7 @@
 
 // CopyReply returns a reply without records, for all steps.
 func (g *Gate) CopyReply(requester string) CopyReply {
-	reply := CopyReply{Store: g.name, Fence: g.state.Self, Ready: g.state.Ready, Horizon: g.state.Horizon, Known: g.state.Known}
+	reply := CopyReply{Store: g.name, Fence: g.state.Self, Ready: g.Ready(), Horizon: g.state.Horizon, Known: g.state.Known}
 	if f, ok := g.state.Known[requester]; ok {
 		reply.Met = &f
 	}
@@ -52,5 +52,5 @@
 // recorded, and this store itself has nothing left to copy.
 func (g *Gate) Serves(req CopyRequest) bool {
 	f, ok := g.state.Known[req.Store]
-	return g.state.Ready && ok && f == req.Fence
+	return g.Ready() && ok && f == req.Fence
 }
--- a/pkg/claim/gate.go
+++ b/pkg/claim/gate.go
@@ -24,7 +24,13 @@
 }
 
 // RestoreGate returns the gate with the last state that was written.
-func RestoreGate(name string, s GateState) *Gate {
+//
+// A store that was not ready starts its time without a copy afresh: if its
+// folder had been put aside, another incarnation may have voted meanwhile.
+func RestoreGate(name string, s GateState, now time.Time) *Gate {
+	if from := now.Add(2 * Allowance); !s.Ready && from.After(s.VotesFrom) {
+		s.VotesFrom = from
+	}
 	if s.Known == nil {
 		s.Known = map[string]Fence{}
 	}
@@ -32,7 +38,7 @@
 }
 
 // Ready reports whether the store votes for all keys.
-func (g *Gate) Ready() bool { return g.state.Ready }
+func (g *Gate) Ready() bool { return g.state.Ready && !g.state.Superseded }
 
 // Fence returns the store's own fence.
 func (g *Gate) Fence() Fence { return g.state.Self }
@@ -48,7 +54,7 @@
 		return TooOld
 	case t.After(now.Add(Allowance)):
 		return TooNew
-	case !g.state.Ready && t.Before(g.state.VotesFrom):
+	case g.state.Superseded, !g.state.Ready && t.Before(g.state.VotesFrom):
 		return NotReady
 	}
 	return 0
@@ -111,6 +117,12 @@
 	return g.mutation()
 }
 
+// Supersede ends voting for good, because a newer incarnation of this store exists.
+func (g *Gate) Supersede() *Mutation {
+	g.state.Superseded = true
+	return g.mutation()
+}
+
 // Forget moves the horizon so that records past their lifetime may be
 // dropped. It never moves back.
 func (g *Gate) Forget(now time.Time) *Mutation {
@@ -126,6 +138,9 @@
 	return g.mutation()
 }
 
+// State returns a copy of the state.
+func (g *Gate) State() GateState { return g.state }
+
 // Mutation returns the current state as a mutation, for the first record of a log.
 func (g *Gate) Mutation() *Mutation { return g.mutation() }
 
--- a/pkg/claim/mutation.go
+++ b/pkg/claim/mutation.go
@@ -22,6 +22,9 @@
 	Ready     bool      `cbor:"2,keyasint,omitempty"`
 	VotesFrom time.Time `cbor:"3,keyasint"`
 	Horizon   time.Time `cbor:"4,keyasint"`
+	// Superseded is set for good once another incarnation has taken this one's
+	// place: the folder is an old one that was put back.
+	Superseded bool `cbor:"6,keyasint,omitempty"`
 	// Known holds the newest fence that was met of each other store.
 	Known map[string]Fence `cbor:"5,keyasint,omitempty"`
 }
--- a/pkg/claim/record.go
+++ b/pkg/claim/record.go
@@ -75,3 +75,16 @@
 	}
 	return next
 }
+
+// interned returns a copy with shared strings.
+func (r *Record) interned() *Record {
+	next := *r
+	next.Owners, next.Released = slices.Clone(r.Owners), slices.Clone(r.Released)
+	for i, a := range next.Owners {
+		next.Owners[i] = a.interned()
+	}
+	for i, a := range next.Released {
+		next.Released[i] = a.interned()
+	}
+	return &next
+}
--- a/pkg/claim/register.go
+++ b/pkg/claim/register.go
@@ -1,9 +1,6 @@
 package claim
 
-import (
-	"time"
-	"unique"
-)
+import "time"
 
 // entry is a record with the time its owner was last heard of. The time is
 // not persisted: after a restart owners count as silent until they renew.
@@ -45,8 +42,7 @@
 	case rec.released(a):
 		return VoteReply{Verdict: WasReleased}, nil
 	case len(rec.Owners) == 0:
-		a.Host, a.Incarnation = unique.Make(a.Host).Value(), unique.Make(a.Incarnation).Value()
-		return VoteReply{Verdict: Granted}, r.put(now, k, rec.withOwner(a))
+		return VoteReply{Verdict: Granted}, r.put(now, k, rec.withOwner(a.interned()))
 	case len(rec.Owners) == 1 && rec.Owners[0] == a:
 		r.touch(now, k)
 		return VoteReply{Verdict: Granted}, nil
@@ -63,16 +59,16 @@
 	case rec.Result == Done, rec.Result == Uncertain && answer == nil:
 		return nil
 	case answer == nil:
-		return r.put(now, k, rec.withResult(a, Uncertain, nil))
+		return r.put(now, k, rec.withResult(a.interned(), Uncertain, nil))
 	}
-	return r.put(now, k, rec.withResult(a, Done, answer))
+	return r.put(now, k, rec.withResult(a.interned(), Done, answer))
 }
 
 // Release gives up an attempt. It is remembered even if this store has not
 // voted for it, so that a vote request that arrives later is refused.
 func (r *Register) Release(now time.Time, k Key, a Attempt) *Mutation {
 	rec := r.get(k)
-	next := rec.withRelease(a)
+	next := rec.withRelease(a.interned())
 	if rec.Result != Open || next == rec {
 		return nil
 	}
@@ -106,7 +102,7 @@
 // Merge joins a record of another store and returns the change, if any.
 func (r *Register) Merge(k Key, o *Record) *Mutation {
 	rec := r.get(k)
-	next := rec.merged(o)
+	next := rec.merged(o.interned())
 	if next == rec {
 		return nil
 	}
@@ -114,7 +110,7 @@
 }
 
 // Set replaces a record when the log is replayed.
-func (r *Register) Set(k Key, rec *Record) { r.put(time.Time{}, k, rec) }
+func (r *Register) Set(k Key, rec *Record) { r.put(time.Time{}, k, rec.interned()) }
 
 // Drop removes the records of keys with a timestamp before horizon. The
 // caller has synced the horizon at the gate first.
--- /dev/null
+++ b/pkg/claim/scenario_test.go
@@ -0,0 +1,162 @@
+package claim
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// ask delivers vote requests of an attempt; the replies stay on their way.
+func (w *world) ask(a *simAttempt, stores ...int) {
+	for _, i := range stores {
+		w.vote(a, i)
+		w.stores[i].sync()
+	}
+}
+
+// get delivers all replies of an attempt.
+func (w *world) get(a *simAttempt) Decision {
+	for _, r := range a.replies {
+		w.reply(a, r)
+	}
+	return a.p.Decision()
+}
+
+// putBack starts a store with the folder it had before the last format.
+func (s *simStore) putBack() {
+	s.disk = s.old[len(s.old)-1]
+	s.boot()
+}
+
+// TestScenarios holds faults that random histories meet too seldom.
+func TestScenarios(t *testing.T) {
+	Convey("Given three stores that were founded together", t, func() {
+		w := newWorld(3)
+		s0, s1 := w.stores[0], w.stores[1]
+		a, b := w.begin("a", 1), w.begin("b", 1)
+		Reset(func() { So(w.fault, ShouldEqual, "") })
+		for _, s := range w.stores {
+			So(s.live.Gate.Ready(), ShouldBeTrue)
+		}
+
+		Convey("a grant from a lost disk does not add up with a later one", func() {
+			w.ask(a, 0)
+			s0.format()
+			w.rejoin(s0, nil)
+			w.ask(b, 0, 1)
+			So(w.get(b), ShouldEqual, MaySend)
+			w.ask(a, 2)
+			So(w.get(a), ShouldEqual, Waiting)
+		})
+		Convey("a grant that was not synced before a crash is never seen", func() {
+			w.vote(a, 0)
+			s0.boot()
+			So(a.replies, ShouldBeEmpty)
+			w.ask(b, 0, 1)
+			So(w.get(b), ShouldEqual, MaySend)
+		})
+		Convey("a release gives up only the attempt it names", func() {
+			w.ask(a, 0, 1)
+			s0.write(s0.live.Release(w.now, ReleaseRequest{Key: w.key, Attempt: b.Attempt}), nil)
+			c := w.begin("c", 1)
+			w.ask(c, 0)
+			So(c.replies[0].Verdict, ShouldEqual, Held)
+		})
+		Convey("a vote request that arrives after its release is refused, also by a store that copied", func() {
+			s0.write(s0.live.Release(w.now, ReleaseRequest{Key: w.key, Attempt: a.Attempt}), nil)
+			s0.sync()
+			s1.format()
+			w.rejoin(s1, nil)
+			w.ask(a, 0, 1)
+			So(a.replies[0].Verdict, ShouldEqual, WasReleased)
+			So(a.replies[1].Verdict, ShouldEqual, WasReleased)
+		})
+		Convey("a store that copied two owners grants neither until one is released", func() {
+			w.ask(a, 1)
+			w.ask(b, 2)
+			s0.format()
+			w.rejoin(s0, nil)
+			w.ask(a, 0)
+			w.ask(b, 0)
+			So(a.replies[1].Verdict, ShouldEqual, Held)
+			So(b.replies[1].Verdict, ShouldEqual, Held)
+			s0.write(s0.live.Release(w.now, ReleaseRequest{Key: w.key, Attempt: a.Attempt}), nil)
+			w.ask(b, 0)
+			So(b.replies[2].Verdict, ShouldEqual, Granted)
+		})
+		Convey("a folder that is put back after it was replaced stops voting", func() {
+			s0.format()
+			w.rejoin(s0, nil)
+			s0.putBack()
+			s0.join(s1, false)
+			w.ask(a, 0)
+			So(a.replies[0].Verdict, ShouldEqual, NotReady)
+		})
+		Convey("a folder that was put back is no source for a copy", func() {
+			s0.format()
+			w.rejoin(s0, nil)
+			w.ask(a, 0, 1)
+			So(w.get(a), ShouldEqual, MaySend)
+			s0.putBack()
+			s1.format()
+			w.rejoin(s1, nil)
+			So(s1.live.Gate.Ready(), ShouldBeFalse)
+			w.ask(b, 1)
+			So(b.replies[0].Verdict, ShouldEqual, NotReady)
+		})
+		Convey("a folder that was put back before it was ready does not vote for keys made meanwhile", func() {
+			s0.format()
+			s0.format()
+			w.rejoin(s0, nil)
+			w.now = w.now.Add(4 * Allowance)
+			w.key = keyAt(w.now)
+			w.ask(a, 0, 1)
+			So(w.get(a), ShouldEqual, MaySend)
+			s0.putBack()
+			w.ask(b, 0)
+			So(b.replies[0].Verdict, ShouldEqual, NotReady)
+		})
+		Convey("stores that all lost their disks vote for new keys after the clock allowance only", func() {
+			for _, s := range w.stores {
+				s.format()
+			}
+			w.ask(a, 0, 1, 2)
+			So(w.get(a), ShouldEqual, NotRun)
+			w.now = w.now.Add(2 * Allowance)
+			w.key = keyAt(w.now)
+			w.ask(b, 0, 1)
+			So(w.get(b), ShouldEqual, MaySend)
+		})
+		Convey("a resend after ageing is answered as expired", func() {
+			w.ask(a, 0, 1, 2)
+			w.run(a)
+			w.finish(a)
+			w.now = w.now.Add(Lifetime + 3*Allowance)
+			for _, s := range w.stores {
+				s.forget()
+				So(s.live.Register.Len(), ShouldEqual, 0)
+			}
+			w.ask(b, 0, 1, 2)
+			So(w.get(b), ShouldEqual, Expired)
+		})
+	})
+}
+
+// TestKeys guards against keys whose age cannot be told.
+func TestKeys(t *testing.T) {
+	Convey("Only the plain text form of a UUIDv7 is a key", t, func() {
+		for _, text := range []string{
+			"", "x", "0190163d-8694-739b-aea5-966c26f8ad9",
+			"{0190163d-8694-739b-aea5-966c26f8ad91}", "urn:uuid:0190163d-8694-739b-aea5-966c26f8ad91",
+			"0190163d-8694-439b-aea5-966c26f8ad91", // version 4
+			"0190163d-8694-739b-cea5-966c26f8ad91", // other variant
+			"0190163d86947-39baea5966c26f8ad91----",
+		} {
+			_, err := ParseKey("bookings", text)
+			So(err, ShouldWrap, ErrKey)
+		}
+		k, err := ParseKey("bookings", "0190163d-8694-739b-aea5-966c26f8ad91")
+		So(err, ShouldBeNil)
+		So(k.Time().UnixMilli(), ShouldEqual, 0x0190163d8694)
+	})
+}
--- a/pkg/claim/store.go
+++ b/pkg/claim/store.go
@@ -70,6 +70,13 @@
 	return out
 }
 
+// Apply replays a record change when the log is read.
+func (s *Store) Apply(m *Mutation) {
+	if m.Key != nil && m.Record != nil {
+		s.Register.Set(*m.Key, m.Record)
+	}
+}
+
 // signed adds what the store knows of itself and of others. The fences are
 // read at the time of the vote, under the lock that also guards copying.
 func (s *Store) signed(r VoteReply) VoteReply {
--- /dev/null
+++ b/pkg/claim/world_test.go
@@ -0,0 +1,281 @@
+package claim
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+)
+
+// world is a set of stores and attempts with every message in the test's hands.
+type world struct {
+	now      time.Time
+	key      Key
+	stores   []*simStore
+	attempts []*simAttempt
+	ran      *simAttempt // the attempt whose request the target ran
+	fault    string      // first violation
+}
+
+// simStore is a store with a disk. Changes reach the disk only by sync, and
+// replies leave only after it.
+type simStore struct {
+	w        *world
+	name     string
+	lives    int
+	skew     time.Duration
+	live     *Store
+	disk     simDisk
+	unsynced []change
+	joiner   *Joiner
+	fetched  *CopyReply // a copy that has been read but not yet merged
+	old      []simDisk  // folders of earlier incarnations
+}
+
+type simDisk struct {
+	incarnation string
+	snap        *Snapshot
+	changes     []*Mutation
+}
+
+type change struct {
+	m     *Mutation
+	reply func()
+}
+
+type simAttempt struct {
+	Attempt
+	p        *Proposer
+	votes    []int // stores that a vote request is on its way to
+	replies  []VoteReply
+	releases []int
+	finishes []int
+	answer   *Answer
+	sent     bool
+	ended    bool // released, or its result reported
+	released bool
+	refused  Decision
+}
+
+func newWorld(n int) *world {
+	w := &world{now: time.UnixMilli(1_800_000_000_000)}
+	w.key = keyAt(w.now)
+	for i := range n {
+		s := &simStore{w: w, name: fmt.Sprint("s", i)}
+		s.format()
+		w.stores = append(w.stores, s)
+	}
+	// All stores are founded together.
+	for range 3 {
+		for _, s := range w.stores {
+			for _, o := range w.stores {
+				s.join(o, true)
+			}
+		}
+	}
+	w.now = w.now.Add(time.Second)
+	return w
+}
+
+func keyAt(t time.Time) Key {
+	id := uuid.UUID{6: 0x70, 8: 0x80, 15: 1}
+	ms := t.UnixMilli()
+	for i := range 6 {
+		id[i] = byte(ms >> (40 - 8*i))
+	}
+	return Key{Service: "bookings", ID: id}
+}
+
+func (w *world) fail(format string, args ...any) {
+	if w.fault == "" {
+		w.fault = fmt.Sprintf(format, args...)
+	}
+}
+
+func (s *simStore) time() time.Time { return s.w.now.Add(s.skew) }
+
+// format starts the store with an empty folder.
+func (s *simStore) format() {
+	s.lives++
+	s.old = append(s.old, s.disk)
+	s.disk = simDisk{incarnation: fmt.Sprint(s.name, "-", s.lives)}
+	s.boot()
+}
+
+// boot starts the store from its disk; what was not synced is gone.
+func (s *simStore) boot() {
+	s.unsynced, s.fetched = nil, nil
+	s.live = RestoreStore(s.name, s.disk.incarnation, s.time(), s.disk.snap, s.disk.changes)
+	s.joiner = NewJoiner(s.live.Gate.Fence(), len(s.w.stores)-1, s.lives == 1)
+	if len(s.w.stores) == 0 || s.lives == 1 {
+		s.joiner = nil // set by join, when the number of stores is known
+	}
+	s.write(s.live.Gate.Mutation(), nil)
+	s.sync()
+}
+
+func (s *simStore) write(m *Mutation, reply func()) {
+	s.unsynced = append(s.unsynced, change{m: m, reply: reply})
+}
+
+func (s *simStore) sync() {
+	for _, c := range s.unsynced {
+		if c.m != nil {
+			s.disk.changes = append(s.disk.changes, c.m)
+		}
+		if c.reply != nil {
+			c.reply()
+		}
+	}
+	s.unsynced = nil
+}
+
+// join runs one step of the join with another store. Merging a copy is a
+// step of its own, so that changes may happen between reading and merging.
+func (s *simStore) join(o *simStore, founding bool) {
+	if o == s {
+		return
+	}
+	if s.joiner == nil {
+		s.joiner = NewJoiner(s.live.Gate.Fence(), len(s.w.stores)-1, founding)
+	}
+	j := s.joiner
+	req := CopyRequest{Store: s.name, Fence: j.Fence(), Step: CopyRegister}
+	if j.Fence().Generation > 0 {
+		s.write(s.live.Gate.SetGeneration(j.Fence().Generation), nil)
+		s.sync()
+		o.write(o.live.Gate.Met(s.name, req.Fence), nil)
+		o.sync()
+	}
+	j.Status(o.live.Gate.CopyReply(s.name))
+	if j.Superseded() {
+		s.write(s.live.Gate.Supersede(), nil)
+		return
+	}
+	if !s.live.Gate.Ready() && j.Registered(o.name) && o.live.Gate.Serves(req) && s.fetched == nil {
+		reply := o.live.Gate.CopyReply(s.name)
+		reply.Records = o.live.Records()
+		s.fetched = &reply
+	}
+	s.open()
+}
+
+// merge takes over the copy that was read before.
+func (s *simStore) merge() {
+	r := s.fetched
+	if r == nil {
+		return
+	}
+	s.fetched = nil
+	s.write(s.live.Gate.Learn(r.Known, r.Horizon), nil)
+	for _, m := range s.live.Merge(r.Records) {
+		s.write(m, nil)
+	}
+	s.sync()
+	s.joiner.Copied(r.Store, r.Fence, r.Known)
+	s.open()
+}
+
+func (s *simStore) open() {
+	if !s.live.Gate.Ready() && s.joiner.Done() {
+		s.write(s.live.Gate.Open(), nil)
+		s.sync()
+	}
+}
+
+// rejoin lets a store ask, register with and copy all others but one.
+func (w *world) rejoin(s, skip *simStore) {
+	for range 2 {
+		for _, o := range w.stores {
+			if o != skip {
+				s.join(o, false)
+				s.merge()
+			}
+		}
+	}
+}
+
+func (s *simStore) forget() {
+	s.write(s.live.Gate.Forget(s.time()), nil)
+	s.sync()
+	s.live.Register.Drop(s.live.Gate.Horizon())
+}
+
+// begin starts an attempt and queues its vote requests.
+func (w *world) begin(host string, counter uint64) *simAttempt {
+	a := &simAttempt{Attempt: Attempt{Host: host, Incarnation: host + "-1", Counter: counter}}
+	var names []string
+	for i, s := range w.stores {
+		names = append(names, s.name)
+		a.votes = append(a.votes, i)
+	}
+	a.p = NewProposer(a.Attempt, names)
+	w.attempts = append(w.attempts, a)
+	return a
+}
+
+// vote delivers a vote request; the reply leaves after the sync.
+func (w *world) vote(a *simAttempt, i int) {
+	s := w.stores[i]
+	reply, m := s.live.Vote(s.time(), VoteRequest{Key: w.key, Attempt: a.Attempt})
+	s.write(m, func() { a.replies = append(a.replies, reply) })
+}
+
+// reply delivers a reply to the attempt and checks what it decides.
+func (w *world) reply(a *simAttempt, r VoteReply) { w.decided(a, a.p.Reply(r)) }
+
+func (w *world) decided(a *simAttempt, d Decision) {
+	if a.refused != Waiting && d != a.refused {
+		w.fail("attempt %v was refused with %d and then decided %d", a, a.refused, d)
+	}
+	switch {
+	case d == Waiting, a.refused != Waiting, a.sent, a.ended:
+	case d == MaySend:
+		w.send(a)
+	default:
+		a.refused = d
+		if d == Replay && (w.ran == nil || a.p.Answer() != w.ran.answer) {
+			w.fail("attempt %v got an answer that is not the target's", a)
+		}
+		w.release(a)
+	}
+}
+
+// send uses the right to send. The target runs the request at most once.
+func (w *world) send(a *simAttempt) {
+	for _, o := range w.attempts {
+		if o != a && o.sent && !o.released {
+			w.fail("attempts %v and %v both have the right to send", o, a)
+		}
+	}
+	a.sent = true
+}
+
+// run lets the target run the request.
+func (w *world) run(a *simAttempt) {
+	if w.ran != nil && w.ran != a {
+		w.fail("attempts %v and %v both ran", w.ran, a)
+	}
+	w.ran = a
+	a.answer = &Answer{Status: 200 + len(a.Host)}
+}
+
+// release gives the attempt up and queues the withdrawals of its votes.
+func (w *world) release(a *simAttempt) {
+	a.ended, a.released = true, true
+	for i, s := range w.stores {
+		for _, name := range a.p.Release() {
+			if s.name == name {
+				a.releases = append(a.releases, i)
+			}
+		}
+	}
+}
+
+// finish reports the result, or that it is not known.
+func (w *world) finish(a *simAttempt) {
+	a.ended = true
+	for i := range w.stores {
+		a.finishes = append(a.finishes, i)
+	}
+}
