--- /dev/null
+++ b/internal/replica/applier.go
@@ -0,0 +1,160 @@
+package replica
+
+import (
+	"context"
+	"sync"
+
+	"github.com/hornbeamstack/hornbeamstack/pkg/agree"
+)
+
+// task is one step of the state machine.
+type task struct {
+	install *agree.Snapshot
+	entry   agree.Entry
+	result  chan<- proposalResult // nil if nobody waits here
+}
+
+// machineSnapshot is the state machine's data as of index.
+type machineSnapshot struct {
+	index uint64
+	data  []byte
+}
+
+// applier feeds the state machine in a goroutine of its own, so that a slow
+// state machine does not delay heartbeats.
+type applier struct {
+	machine   StateMachine
+	snapshots chan machineSnapshot
+	failed    func(error)
+
+	mu      sync.Mutex
+	wake    *sync.Cond
+	tasks   []task
+	stopped bool
+	applied uint64
+	waiters map[chan struct{}]uint64 // closed once applied reaches the index
+
+	entries int // since the last snapshot
+	bytes   int
+}
+
+func newApplier(m StateMachine, applied uint64, failed func(error)) *applier {
+	a := &applier{machine: m, applied: applied, failed: failed,
+		snapshots: make(chan machineSnapshot, 1), waiters: map[chan struct{}]uint64{}}
+	a.wake = sync.NewCond(&a.mu)
+	return a
+}
+
+func (a *applier) add(tasks ...task) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.tasks = append(a.tasks, tasks...)
+	a.wake.Signal()
+}
+
+func (a *applier) stop() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.stopped = true
+	a.wake.Signal()
+}
+
+func (a *applier) run() {
+	for {
+		a.mu.Lock()
+		for len(a.tasks) == 0 && !a.stopped {
+			a.wake.Wait()
+		}
+		tasks, stopped := a.tasks, a.stopped
+		a.tasks = nil
+		a.mu.Unlock()
+		if stopped {
+			for _, t := range tasks {
+				t.answer(proposalResult{err: &UnknownResultError{Cause: ErrStopped}})
+			}
+			return
+		}
+		for i := range tasks {
+			a.do(&tasks[i])
+		}
+	}
+}
+
+func (a *applier) do(t *task) {
+	if t.install != nil {
+		if err := a.machine.Restore(t.install.Data); err != nil {
+			a.failed(err)
+			return
+		}
+		a.entries, a.bytes = 0, 0
+		a.reached(t.install.Index)
+		return
+	}
+	var result []byte
+	if t.entry.Kind == agree.EntryCommand {
+		result = a.machine.Apply(t.entry.Index, t.entry.Command)
+	}
+	a.entries++
+	a.bytes += len(t.entry.Command)
+	a.reached(t.entry.Index)
+	t.answer(proposalResult{value: result})
+	a.snapshotIfDue(t.entry.Index)
+}
+
+func (t *task) answer(r proposalResult) {
+	if t.result != nil {
+		t.result <- r
+	}
+}
+
+// snapshotIfDue hands a snapshot to the loop unless one is still waiting there.
+func (a *applier) snapshotIfDue(index uint64) {
+	if a.entries < snapshotEntries && a.bytes < snapshotBytes || len(a.snapshots) > 0 {
+		return
+	}
+	a.snapshots <- machineSnapshot{index: index, data: a.machine.Snapshot()}
+	a.entries, a.bytes = 0, 0
+}
+
+func (a *applier) reached(index uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.applied = index
+	for ch, wanted := range a.waiters {
+		if wanted <= index {
+			close(ch)
+			delete(a.waiters, ch)
+		}
+	}
+}
+
+func (a *applier) index() uint64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.applied
+}
+
+// wait returns once the state machine has applied index.
+func (a *applier) wait(ctx context.Context, index uint64, stopped <-chan struct{}) error {
+	a.mu.Lock()
+	if a.applied >= index {
+		a.mu.Unlock()
+		return nil
+	}
+	ch := make(chan struct{})
+	a.waiters[ch] = index
+	a.mu.Unlock()
+	defer func() {
+		a.mu.Lock()
+		delete(a.waiters, ch)
+		a.mu.Unlock()
+	}()
+	select {
+	case <-ch:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-stopped:
+		return ErrStopped
+	}
+}
--- /dev/null
+++ b/internal/replica/group.go
@@ -0,0 +1,111 @@
+package replica
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/peer"
+	"github.com/hornbeamstack/hornbeamstack/pkg/agree"
+	"github.com/hornbeamstack/hornbeamstack/pkg/wal"
+)
+
+// Group is this host's part in the agreement.
+type Group struct {
+	config  Config
+	self    agree.ID
+	start   time.Time // zero of the node's clock
+	journal *journal
+	applier *applier
+
+	inbox chan agree.Message
+	calls chan func() // run by the loop
+	saved chan savedSnapshot
+	quit  chan struct{} // closed by Stop or a failure
+	once  sync.Once
+	wg    sync.WaitGroup
+
+	// Owned by the loop.
+	node    *agree.Node
+	pending map[uint64]proposal // by index
+	reads   map[uint64]chan<- agree.ReadResult
+	readID  uint64
+	saving  bool
+
+	mu     sync.Mutex
+	status agree.Status // after the last durable output
+	begun  bool         // holds a history
+	err    error
+}
+
+// Start opens the folder and takes part in the group. It does not wait for a leader.
+func Start(c Config) (*Group, error) { return start(c, wal.Options{Folder: c.Folder, Host: c.Host}) }
+
+func start(c Config, o wal.Options) (*Group, error) {
+	if err := c.check(); err != nil {
+		return nil, err
+	}
+	j, p, identity, err := openJournal(o)
+	if err != nil {
+		return nil, err
+	}
+	if p.Snapshot.Index > 0 {
+		if err := c.Machine.Restore(p.Snapshot.Data); err != nil {
+			_ = j.log.Close()
+			return nil, fmt.Errorf("restore snapshot %d: %w", p.Snapshot.Index, err)
+		}
+	}
+	g := &Group{
+		config: c, self: agree.ID{Name: identity.Host, Incarnation: identity.Incarnation},
+		start: time.Now(), journal: j,
+		inbox: make(chan agree.Message, inboxLength), calls: make(chan func()),
+		saved: make(chan savedSnapshot, 1), quit: make(chan struct{}),
+		pending: map[uint64]proposal{}, reads: map[uint64]chan<- agree.ReadResult{},
+	}
+	g.node = agree.New(agree.Options{
+		Self: g.self, Peer: c.peerOf(c.Host), State: p.State, Snapshot: p.Snapshot, Entries: p.Entries,
+		Random: rand.Int64N,
+	}, g.now())
+	g.applier = newApplier(c.Machine, p.Snapshot.Index, g.fail)
+	g.publish()
+	peer.Register(c.Server, method, g.serve)
+	c.Log.Info("agreement started", "incarnation", g.self.Incarnation, "term", p.State.Term,
+		"snapshot", p.Snapshot.Index, "entries", len(p.Entries))
+	g.wg.Go(g.loop)
+	g.wg.Go(g.applier.run)
+	g.wg.Go(g.join)
+	g.wg.Go(g.probe)
+	return g, nil
+}
+
+// Stop ends the group's part of this host; its state stays on disk.
+func (g *Group) Stop() {
+	g.once.Do(func() { close(g.quit) })
+	g.applier.stop()
+	g.wg.Wait()
+	_ = g.journal.log.Close() // a failed log has reported its error before
+}
+
+// fail stops the group after an error that it cannot go on from.
+func (g *Group) fail(err error) {
+	g.mu.Lock()
+	if g.err == nil {
+		g.err = err
+	}
+	g.mu.Unlock()
+	g.config.Log.Error("agreement failed", "err", err)
+	g.once.Do(func() { close(g.quit) })
+	g.applier.stop()
+}
+
+func (g *Group) now() time.Duration { return time.Since(g.start) }
+
+func (g *Group) stopped() bool {
+	select {
+	case <-g.quit:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/replica/loop.go
@@ -0,0 +1,129 @@
+package replica
+
+import (
+	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/peer"
+	"github.com/hornbeamstack/hornbeamstack/pkg/agree"
+)
+
+// loop owns the node. Each round takes the inputs that wait, up to maxBatch,
+// and handles the output of all of them with one write to disk.
+func (g *Group) loop() {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	defer g.dropPending()
+	for {
+		select {
+		case <-g.quit:
+			return
+		case <-ticker.C:
+			g.node.Tick(g.now())
+		case m := <-g.inbox:
+			g.step(m)
+		case call := <-g.calls:
+			call()
+		case s := <-g.applier.snapshots:
+			g.saveSnapshot(s)
+		case s := <-g.saved:
+			g.snapshotSaved(s)
+		}
+		g.drain()
+		if !g.handleOutput() {
+			return
+		}
+	}
+}
+
+func (g *Group) drain() {
+	for range maxBatch {
+		select {
+		case m := <-g.inbox:
+			g.step(m)
+		case call := <-g.calls:
+			call()
+		default:
+			return
+		}
+	}
+}
+
+func (g *Group) step(m agree.Message) {
+	if err := g.node.Step(g.now(), m); err != nil {
+		g.fail(err)
+	}
+}
+
+// handleOutput follows the order that agree.Output demands: persist, send, apply.
+func (g *Group) handleOutput() bool {
+	if g.stopped() {
+		return false
+	}
+	o := g.node.Ready()
+	if err := g.journal.save(&o); err != nil {
+		g.fail(err)
+		return false
+	}
+	g.publish()
+	for i := range o.Messages {
+		g.send(&o.Messages[i])
+	}
+	g.apply(&o)
+	g.failLost()
+	for _, r := range o.Reads {
+		if ch, ok := g.reads[r.ID]; ok {
+			ch <- r
+			delete(g.reads, r.ID)
+		}
+	}
+	return true
+}
+
+func (g *Group) send(m *agree.Message) {
+	addr := g.config.peerOf(m.To.Name)
+	if addr == "" {
+		s, _ := g.node.Status().Members.Find(m.To.Name)
+		addr = s.Peer
+	}
+	// A message that cannot be sent is lost; the protocol repeats it.
+	_ = peer.Notify(g.config.Client, addr, method, wireRequest{Kind: wireMessage, Message: m})
+}
+
+func (g *Group) apply(o *agree.Output) {
+	var tasks []task
+	if o.Install != nil {
+		g.config.Log.Info("snapshot received", "index", o.Install.Index, "bytes", len(o.Install.Data))
+		tasks = append(tasks, task{install: o.Install})
+	}
+	for _, e := range o.Committed {
+		t := task{entry: e}
+		if p, ok := g.pending[e.Index]; ok {
+			delete(g.pending, e.Index)
+			if p.term == e.Term {
+				t.result = p.result
+			} else { // another leader's entry took the place, so this one never commits
+				p.result <- proposalResult{err: g.notLeader()}
+			}
+		}
+		tasks = append(tasks, t)
+	}
+	if len(tasks) > 0 {
+		g.applier.add(tasks...)
+	}
+}
+
+// publish makes the node's state visible to other goroutines.
+func (g *Group) publish() {
+	s := g.node.Status()
+	begun := g.node.HasHistory()
+	g.mu.Lock()
+	old := g.status
+	g.status, g.begun = s, begun
+	g.mu.Unlock()
+	if old.Role != s.Role || old.Term != s.Term || old.Leader != s.Leader {
+		g.config.Log.Info("role changed", "role", s.Role, "term", s.Term, "leader", s.Leader.Name, "commit", s.Commit)
+	}
+	if old.Members.Index != s.Members.Index {
+		g.config.Log.Info("members changed", "index", s.Members.Index, "members", memberList(s.Members))
+	}
+}
--- /dev/null
+++ b/internal/replica/read.go
@@ -0,0 +1,73 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/peer"
+	"github.com/hornbeamstack/hornbeamstack/pkg/agree"
+)
+
+// readAttemptTimeout bounds one question to the leader; the leader may have changed meanwhile.
+const readAttemptTimeout = time.Second
+
+// Read returns once the local state machine holds everything that was
+// committed before the call. It retries until ctx ends.
+func (g *Group) Read(ctx context.Context) error {
+	for {
+		index, err := g.readIndex(ctx)
+		if err == nil {
+			return g.applier.wait(ctx, index, g.quit)
+		}
+		if errors.Is(err, ErrStopped) {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Join(ctx.Err(), err)
+		case <-g.quit:
+			return g.stopCause()
+		case <-time.After(retryInterval):
+		}
+	}
+}
+
+// readIndex asks this host, or the leader it knows.
+func (g *Group) readIndex(ctx context.Context) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, readAttemptTimeout)
+	defer cancel()
+	index, err := g.localReadIndex(ctx)
+	var notLeader *NotLeaderError
+	if !errors.As(err, &notLeader) || notLeader.Leader.Peer == "" {
+		return index, err
+	}
+	reply, err := peer.Call[wireRequest, wireReply](ctx, g.config.Client, notLeader.Leader.Peer, method, wireRequest{Kind: wireRead})
+	return reply.Index, err
+}
+
+func (g *Group) localReadIndex(ctx context.Context) (uint64, error) {
+	result := make(chan agree.ReadResult, 1)
+	err := g.do(ctx, func() {
+		g.readID++
+		if err := g.node.Read(g.now(), g.readID); err != nil {
+			result <- agree.ReadResult{Err: err}
+			return
+		}
+		g.reads[g.readID] = result
+	})
+	if err != nil {
+		return 0, err
+	}
+	select {
+	case r := <-result:
+		if errors.Is(r.Err, agree.ErrNotLeader) {
+			return 0, &NotLeaderError{Leader: g.leader(g.snapshotStatus())}
+		}
+		return r.Index, r.Err
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	case <-g.quit:
+		return 0, g.stopCause()
+	}
+}
--- /dev/null
+++ b/internal/replica/replace.go
@@ -0,0 +1,54 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/pkg/agree"
+)
+
+// Replace admits the new incarnation of a member that lost its disk and
+// returns once it votes. The leader does the same by itself when the host asks
+// for admission at its listed address; Replace also accepts a new address.
+func (g *Group) Replace(ctx context.Context, m Member) error {
+	reply, err := g.hello(ctx, m)
+	if err != nil {
+		return err
+	}
+	server := agree.Server{ID: agree.ID{Name: m.Name, Incarnation: reply.Incarnation}, Peer: m.Peer}
+	for {
+		result := make(chan error, 1)
+		if err := g.do(ctx, func() { result <- g.admit(server) }); err != nil {
+			return err
+		}
+		err := <-result
+		if !errors.Is(err, agree.ErrNotReady) && !errors.Is(err, agree.ErrChangePending) && !errors.Is(err, agree.ErrStillActive) {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("admit %s: %w", server.ID, errors.Join(ctx.Err(), err))
+		case <-g.quit:
+			return g.stopCause()
+		case <-time.After(retryInterval):
+		}
+	}
+}
+
+// admit takes the next step to make a server a voter; ErrChangePending asks to come again.
+func (g *Group) admit(server agree.Server) error {
+	s := g.node.Status()
+	if s.Role == agree.Leader && s.Members.IsVoter(server.ID) && s.Members.Index <= s.Commit {
+		return nil
+	}
+	err := g.node.Admit(g.now(), server)
+	if errors.Is(err, agree.ErrNotLeader) {
+		return g.notLeader()
+	}
+	if err != nil {
+		return err
+	}
+	return agree.ErrChangePending
+}
--- /dev/null
+++ b/internal/replica/replica_test.go
@@ -0,0 +1,60 @@
+package replica
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestThreeHosts(t *testing.T) {
+	Convey("Given three control hosts", t, func() {
+		c := newCluster(t, "a", "b", "c")
+		ctx := testContext(t)
+		c.startAll()
+		So(c.propose(ctx, "one"), ShouldEqual, "1:one")
+
+		Convey("every host reads what was accepted before the read", func() {
+			So(c.propose(ctx, "two"), ShouldEqual, "2:two")
+			for _, h := range c.hosts {
+				So(h.group.Read(ctx), ShouldBeNil)
+				So(h.machine.list(), ShouldResemble, []string{"one", "two"})
+			}
+		})
+		Convey("a follower names the leader", func() {
+			for _, h := range c.hosts {
+				if h == c.leader() {
+					continue
+				}
+				So(h.group.Read(ctx), ShouldBeNil)
+				_, err := h.group.Propose(ctx, []byte("x"))
+				var notLeader *NotLeaderError
+				So(errors.As(err, &notLeader), ShouldBeTrue)
+				So(notLeader.Leader.Name, ShouldEqual, c.leader().name)
+			}
+		})
+		Convey("a lost leader is replaced and keeps the history when it returns", func() {
+			old := c.leader().name
+			c.stop(old)
+			So(c.propose(ctx, "two"), ShouldEqual, "2:two")
+			c.start(old)
+			So(c.hosts[old].group.Read(ctx), ShouldBeNil)
+			So(c.hosts[old].machine.list(), ShouldResemble, []string{"one", "two"})
+		})
+		Convey("a host that lost its disk votes again after it caught up, and a second loss is survived", func() {
+			for i, lost := range []string{"b", "c", "a"} {
+				c.stop(lost)
+				So(os.RemoveAll(c.hosts[lost].folder), ShouldBeNil)
+				So(c.propose(ctx, fmt.Sprint("loss", i)), ShouldEqual, fmt.Sprintf("%d:loss%d", i+2, i))
+				c.start(lost)
+				c.waitFor(ctx, lost+" votes", func() bool {
+					l := c.leader()
+					return l != nil && c.votes(l.name, lost) && c.votes(lost, lost)
+				})
+			}
+			So(c.propose(ctx, "end"), ShouldEqual, "5:end")
+		})
+	})
+}
--- /dev/null
+++ b/internal/replica/serve.go
@@ -0,0 +1,32 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+)
+
+// serve handles a message of another control host.
+func (g *Group) serve(ctx context.Context, from string, req wireRequest) (wireReply, error) {
+	if g.stopped() {
+		return wireReply{}, g.stopCause()
+	}
+	switch req.Kind {
+	case wireMessage:
+		if req.Message == nil {
+			return wireReply{}, fmt.Errorf("message from %s is empty", from)
+		}
+		select {
+		case g.inbox <- *req.Message:
+		default: // lost, as on the network; the protocol repeats it
+		}
+		return wireReply{}, nil
+	case wireHello:
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return wireReply{Host: g.self.Name, Incarnation: g.self.Incarnation, HasHistory: g.begun}, nil
+	case wireRead:
+		index, err := g.localReadIndex(ctx)
+		return wireReply{Index: index}, err
+	}
+	return wireReply{}, fmt.Errorf("message kind %d from %s is unknown", req.Kind, from)
+}
--- /dev/null
+++ b/pkg/agree/change.go
@@ -0,0 +1,69 @@
+package agree
+
+import "time"
+
+// Admit replaces the server of the same name by a new incarnation as a
+// learner. The leader promotes it once it holds all committed entries.
+func (n *Node) Admit(now time.Duration, s Server) error {
+	n.Tick(now)
+	if n.role != Leader {
+		return ErrNotLeader
+	}
+	members := n.members.current()
+	old, ok := members.Find(s.ID.Name)
+	if !ok {
+		return ErrUnknownMember
+	}
+	if old.ID == s.ID {
+		return nil
+	}
+	if err := n.mayChange(); err != nil {
+		return err
+	}
+	// An active incarnation shows that two processes use the same name.
+	if old.ID == n.self || n.now-n.progressOf(old.ID).heard < n.options.ElectionMax {
+		return ErrStillActive
+	}
+	s.Voter = false
+	if s.Peer == "" {
+		s.Peer = old.Peer
+	}
+	n.change(members.with(s))
+	return nil
+}
+
+// promote makes a learner that holds all committed entries a voter. The
+// change that admitted it is committed by then.
+func (n *Node) promote() {
+	if n.role != Leader || n.mayChange() != nil {
+		return
+	}
+	members := n.members.current()
+	for _, s := range members.Servers {
+		if !s.Voter && n.progressOf(s.ID).match >= n.commit {
+			s.Voter = true
+			n.change(members.with(s))
+			return
+		}
+	}
+}
+
+// mayChange guards I5.
+func (n *Node) mayChange() error {
+	if !n.settled() {
+		return ErrNotReady
+	}
+	if n.members.current().Index > n.commit {
+		return ErrChangePending
+	}
+	return nil
+}
+
+func (n *Node) change(servers []Server) {
+	n.append(Entry{Kind: EntryMembership, Servers: servers})
+	for id := range n.leadership.progress {
+		if !n.members.current().Has(id) {
+			delete(n.leadership.progress, id)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/agree/lead.go
@@ -0,0 +1,132 @@
+package agree
+
+import "time"
+
+// quorumSent returns the latest time so that messages the leader sent then or
+// later were answered by a majority.
+func (n *Node) quorumSent() time.Duration {
+	return time.Duration(quorumValue(n.members.current(), func(id ID) int64 {
+		if id == n.self {
+			return int64(n.now)
+		}
+		return int64(n.progressOf(id).ackedSent)
+	}))
+}
+
+// checkQuorum ends a leadership that no majority has confirmed for an election timeout.
+func (n *Node) checkQuorum() {
+	if n.now-n.quorumSent() >= n.options.ElectionMax {
+		n.becomeFollower(n.state.Term, ID{})
+	}
+}
+
+func (n *Node) beatIfDue() {
+	if n.role == Leader && n.now >= n.leadership.beatDue {
+		n.leadership.beat = true
+	}
+}
+
+// flush sends heartbeats if they are due and entries that are not on their way.
+func (n *Node) flush() {
+	l := n.leadership
+	if l.beat {
+		l.round++
+		l.beat, l.beatDue = false, n.now+n.options.Heartbeat
+		n.eachOther(func(s Server, p *progress) { n.sendBeat(s.ID, p) })
+	}
+	n.eachOther(func(s Server, p *progress) {
+		if p.waiting && n.now >= p.resendAt {
+			p.waiting = false
+		}
+		if !p.waiting && p.next <= n.log.last() {
+			n.sendEntries(s.ID, p)
+		}
+	})
+}
+
+func (n *Node) eachOther(do func(Server, *progress)) {
+	for _, s := range n.members.current().Servers {
+		if s.ID != n.self {
+			do(s, n.progressOf(s.ID))
+		}
+	}
+}
+
+// sendBeat sends an empty append behind the last entry known to be equal, so
+// that it is accepted whatever else is on its way.
+func (n *Node) sendBeat(to ID, p *progress) {
+	m := Message{Kind: MsgAppend, To: to, Commit: min(n.commit, p.match), Round: n.leadership.round, Sent: n.now}
+	if term, ok := n.log.term(p.match); ok {
+		m.Index, m.LogTerm = p.match, term
+	}
+	n.send(m)
+}
+
+func (n *Node) sendEntries(to ID, p *progress) {
+	p.waiting, p.resendAt = true, n.now+resendBeats*n.options.Heartbeat
+	before := p.next - 1
+	term, ok := n.log.term(before)
+	if !ok {
+		p.resendAt = n.now + snapshotResend
+		snapshot := n.snapshot
+		n.send(Message{Kind: MsgSnapshot, To: to, Snapshot: &snapshot, Round: n.leadership.round, Sent: n.now})
+		return
+	}
+	n.send(Message{Kind: MsgAppend, To: to, Index: before, LogTerm: term, Entries: n.log.batch(before),
+		Commit: n.commit, Round: n.leadership.round, Sent: n.now})
+}
+
+func (n *Node) handleAppendReply(m Message) {
+	if n.role != Leader || !n.members.current().Has(m.From) {
+		return
+	}
+	p := n.progressOf(m.From)
+	p.heard = n.now
+	p.ackedSent, p.round = max(p.ackedSent, m.Sent), max(p.round, m.Round)
+	if m.Reject {
+		n.backUp(p, m)
+	} else if m.Index >= p.match {
+		n.advance(p, m.Index)
+	}
+	n.finishReads()
+	n.promote()
+}
+
+func (n *Node) advance(p *progress, match uint64) {
+	if match >= p.next || match > p.match {
+		p.waiting = false
+	}
+	p.match, p.next = match, max(p.next, match+1)
+	n.advanceCommit()
+}
+
+// backUp moves next behind the largest entry that may be equal. A late refusal
+// of an earlier append says nothing about the present one.
+func (n *Node) backUp(p *progress, m Message) {
+	if m.Index != p.next-1 || m.Index <= p.match {
+		return
+	}
+	p.next = max(p.match+1, min(m.Hint+1, m.Index))
+	p.waiting = false
+}
+
+// advanceCommit commits what a majority of voters has stored, up to an entry of the own term (I2).
+func (n *Node) advanceCommit() {
+	index := quorumValue(n.members.current(), func(id ID) uint64 {
+		if id == n.self {
+			// Own entries are durable before anything of the same output is
+			// sent or applied.
+			return n.log.last()
+		}
+		return n.progressOf(id).match
+	})
+	if term, ok := n.log.term(index); !ok || term != n.state.Term || index <= n.commit {
+		return
+	}
+	n.commitUpTo(index)
+	n.leadership.beat = true // followers apply the entries without waiting for the next heartbeat
+}
+
+// settled reports whether the leader has committed an entry of its own term,
+// and so knows all committed entries.
+func (n *Node) settled() bool { return n.commit >= n.leadership.started }
--- /dev/null
+++ b/pkg/agree/log.go
@@ -0,0 +1,97 @@
+package agree
+
+import "slices"
+
+// entryLog holds the entries behind a base that earlier entries were compacted into.
+type entryLog struct {
+	base     uint64 // index before the first entry held
+	baseTerm uint64
+	entries  []Entry
+	unsaved  uint64 // first index that was not handed out for persistence
+}
+
+func newEntryLog(base, baseTerm uint64, entries []Entry) *entryLog {
+	l := &entryLog{base: base, baseTerm: baseTerm, entries: slices.Clone(entries)}
+	l.unsaved = l.last() + 1
+	return l
+}
+
+func (l *entryLog) last() uint64 { return l.base + uint64(len(l.entries)) }
+
+func (l *entryLog) lastTerm() uint64 {
+	term, _ := l.term(l.last())
+	return term
+}
+
+// term returns the term of an entry; ok is false if the entry is not held.
+func (l *entryLog) term(index uint64) (term uint64, ok bool) {
+	switch {
+	case index == l.base:
+		return l.baseTerm, true
+	case index < l.base || index > l.last():
+		return 0, false
+	}
+	return l.entries[index-l.base-1].Term, true
+}
+
+// between returns the entries in (after, upTo].
+func (l *entryLog) between(after, upTo uint64) []Entry {
+	return l.entries[after-l.base : upTo-l.base : upTo-l.base]
+}
+
+// batch returns entries behind after, up to the size of one message.
+func (l *entryLog) batch(after uint64) []Entry {
+	all := l.between(after, l.last())
+	size := 0
+	for i := range all {
+		size += all[i].bytes()
+		if size > maxAppendBytes && i > 0 {
+			return all[:i]
+		}
+	}
+	return all
+}
+
+// add appends entries and drops what they replace.
+func (l *entryLog) add(entries ...Entry) {
+	first := entries[0].Index
+	if first <= l.last() {
+		// A new array: messages and outputs may still refer to the replaced entries.
+		l.entries = slices.Clone(l.between(l.base, first-1))
+	}
+	l.entries = append(l.entries, entries...)
+	l.unsaved = min(l.unsaved, first)
+}
+
+// takeUnsaved returns the entries to persist and takes them as saved.
+func (l *entryLog) takeUnsaved() []Entry {
+	if l.unsaved > l.last() {
+		return nil
+	}
+	entries := l.between(l.unsaved-1, l.last())
+	l.unsaved = l.last() + 1
+	return entries
+}
+
+// compact drops entries up to index.
+func (l *entryLog) compact(index uint64) {
+	if index <= l.base {
+		return
+	}
+	term, _ := l.term(index)
+	l.entries = slices.Clone(l.between(index, l.last()))
+	l.base, l.baseTerm = index, term
+}
+
+// reset replaces everything by a snapshot's end.
+func (l *entryLog) reset(index, term uint64) {
+	*l = entryLog{base: index, baseTerm: term, unsaved: index + 1}
+}
+
+// fresherThan reports whether a log that ends in (index, term) is behind this one.
+func (l *entryLog) fresherThan(index, term uint64) bool {
+	if term != l.lastTerm() {
+		return l.lastTerm() > term
+	}
+	return l.last() > index
+}
--- /dev/null
+++ b/pkg/agree/membership.go
@@ -0,0 +1,67 @@
+package agree
+
+import "slices"
+
+// Membership is the set of servers as of one entry of the log. Each name occurs once.
+type Membership struct {
+	Index   uint64   `cbor:"1,keyasint"` // entry that set it
+	Servers []Server `cbor:"2,keyasint"`
+}
+
+// Find returns the server with the name.
+func (m Membership) Find(name string) (Server, bool) {
+	i := slices.IndexFunc(m.Servers, func(s Server) bool { return s.ID.Name == name })
+	if i < 0 {
+		return Server{}, false
+	}
+	return m.Servers[i], true
+}
+
+// Has reports whether this incarnation is a member.
+func (m Membership) Has(id ID) bool {
+	s, ok := m.Find(id.Name)
+	return ok && s.ID == id
+}
+
+// IsVoter reports whether this incarnation is a voter.
+func (m Membership) IsVoter(id ID) bool {
+	s, ok := m.Find(id.Name)
+	return ok && s.ID == id && s.Voter
+}
+
+// Quorum is the smallest number of voters that is a majority.
+func (m Membership) Quorum() int {
+	voters := 0
+	for _, s := range m.Servers {
+		if s.Voter {
+			voters++
+		}
+	}
+	return voters/2 + 1
+}
+
+// with returns a copy in which s takes the place of the server of its name.
+func (m Membership) with(s Server) []Server {
+	servers := slices.Clone(m.Servers)
+	for i := range servers {
+		if servers[i].ID.Name == s.ID.Name {
+			servers[i] = s
+		}
+	}
+	return servers
+}
+
+// quorumValue returns the largest value that a majority of voters has reached.
+func quorumValue[T int64 | uint64](m Membership, value func(ID) T) T {
+	var values []T
+	for _, s := range m.Servers {
+		if s.Voter {
+			values = append(values, value(s.ID))
+		}
+	}
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[len(values)-m.Quorum()]
+}
--- /dev/null
+++ b/pkg/agree/read.go
@@ -0,0 +1,49 @@
+package agree
+
+import "time"
+
+// pendingRead waits for a majority to confirm that this server still led
+// after the read arrived.
+type pendingRead struct {
+	id    uint64
+	index uint64
+	round uint64
+}
+
+// Read asks for the index that a linearizable read has to wait for. The
+// answer arrives in Output.Reads under the same id.
+func (n *Node) Read(now time.Duration, id uint64) error {
+	n.Tick(now)
+	if n.role != Leader {
+		return ErrNotLeader
+	}
+	if !n.settled() {
+		return ErrNotReady
+	}
+	l := n.leadership
+	// The broadcast of the next output starts after the read arrived.
+	l.beat = true
+	l.reads = append(l.reads, pendingRead{id: id, index: n.commit, round: l.round + 1})
+	n.finishReads()
+	return nil
+}
+
+func (n *Node) finishReads() {
+	l := n.leadership
+	confirmed := quorumValue(n.members.current(), func(id ID) uint64 {
+		if id == n.self {
+			return l.round + 1
+		}
+		return n.progressOf(id).round
+	})
+	for len(l.reads) > 0 && l.reads[0].round <= confirmed {
+		n.reads = append(n.reads, ReadResult{ID: l.reads[0].id, Index: l.reads[0].index})
+		l.reads = l.reads[1:]
+	}
+}
+
+func (n *Node) failReads() {
+	for _, r := range n.leadership.reads {
+		n.reads = append(n.reads, ReadResult{ID: r.id, Err: ErrNotLeader})
+	}
+}
