--- /dev/null
+++ b/internal/controlapi/read.go
@@ -0,0 +1,68 @@
+package controlapi
+
+import (
+	"net/http"
+	"strconv"
+
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+
+	"github.com/hornbeamstack/hornbeamstack/pkg/bundle"
+)
+
+const (
+	defaultPage = 50
+	maxPage     = 1000
+)
+
+// list answers with a page of the history: ?before=VERSION&limit=N.
+func (a *API) list(ctx khttp.Context, stale bool) error {
+	query := ctx.Request().URL.Query()
+	before, err := number(query.Get("before"), 0)
+	if err != nil {
+		return fail(ctx, http.StatusBadRequest, CodeBadRequest, "before: %v", err)
+	}
+	limit, err := number(query.Get("limit"), defaultPage)
+	if err != nil {
+		return fail(ctx, http.StatusBadRequest, CodeBadRequest, "limit: %v", err)
+	}
+	return ctx.JSON(http.StatusOK, HistoryPage{Headers: a.Machine.Headers(before, int(min(limit, maxPage))), Stale: stale})
+}
+
+// show answers with one version.
+func (a *API) show(ctx khttp.Context, stale bool) error {
+	current := a.Machine.Current()
+	text := ctx.Vars().Get("version")
+	if current == nil {
+		return fail(ctx, http.StatusNotFound, CodeNotFound, "no version has been accepted")
+	}
+	version := current.Header.Version
+	if text != CurrentVersion {
+		var err error
+		if version, err = strconv.ParseUint(text, 10, 64); err != nil {
+			return fail(ctx, http.StatusBadRequest, CodeBadRequest, "%q is not a version", text)
+		}
+	}
+	detail := VersionDetail{Stale: stale}
+	var ok bool
+	if detail.Header, ok = a.Machine.Header(version); !ok {
+		return fail(ctx, http.StatusNotFound, CodeNotFound, "version %d has not been accepted", version)
+	}
+	if signed, kept := a.Machine.Delta(version); kept {
+		detail.Changes, detail.HasDiff = signed.Delta.Changes, true
+	}
+	if version == current.Header.Version {
+		content, err := bundle.EncodeSnapshot(current.Bundle)
+		if err != nil {
+			return fail(ctx, http.StatusInternalServerError, CodeUnknown, "%v", err)
+		}
+		detail.Content = content
+	}
+	return ctx.JSON(http.StatusOK, detail)
+}
+
+func number(text string, standard uint64) (uint64, error) {
+	if text == "" {
+		return standard, nil
+	}
+	return strconv.ParseUint(text, 10, 32)
+}
--- /dev/null
+++ b/internal/ctl/client.go
@@ -0,0 +1,182 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/controlapi"
+	"github.com/hornbeamstack/hornbeamstack/internal/history"
+	"github.com/hornbeamstack/hornbeamstack/internal/settings"
+	"github.com/hornbeamstack/hornbeamstack/pkg/bundle"
+)
+
+const (
+	// attemptTimeout bounds one request; a control host waits up to 7 s for the leader.
+	attemptTimeout = 10 * time.Second
+	// retryPause separates rounds over all control hosts, to wait out an election.
+	retryPause = 200 * time.Millisecond
+)
+
+// client asks the control hosts, one after the other.
+type client struct {
+	addrs []string
+	http  *http.Client
+}
+
+// settings returns the settings file, which options may make unnecessary.
+func (c *command) settings() (*settings.Ctl, error) {
+	s, err := settings.LoadCtl(c.args.Settings)
+	if err != nil {
+		return nil, &exitError{ExitUsage, err}
+	}
+	return s, nil
+}
+
+// control returns a client of the control hosts.
+func (c *command) control() (*client, error) {
+	if c.client != nil {
+		return c.client, nil
+	}
+	addrs := c.args.Control
+	if len(addrs) == 0 {
+		s, err := c.settings()
+		if err != nil {
+			return nil, err
+		}
+		addrs = s.ControlHosts
+	}
+	for _, addr := range addrs {
+		if problem := bundle.AddressProblem(addr); problem != "" {
+			return nil, badInput("--control: %s", problem)
+		}
+	}
+	c.client = &client{addrs: addrs, http: &http.Client{Timeout: attemptTimeout}}
+	return c.client, nil
+}
+
+// remoteError is an error response of a control host.
+type remoteError struct {
+	controlapi.ErrorDetail
+}
+
+func (e *remoteError) Error() string { return e.Message }
+
+// get reads from the first control host that answers.
+func (c *client) get(ctx context.Context, path string, dst any) error {
+	var last error
+	for _, addr := range c.addrs {
+		body, status, err := c.request(ctx, addr, http.MethodGet, path, nil)
+		if err == nil {
+			err = decode(body, status, dst)
+		}
+		var remote *remoteError
+		switch {
+		case err == nil:
+			return nil
+		case errors.As(err, &remote) && remote.Code == controlapi.CodeNotFound:
+			return &exitError{ExitFailed, err}
+		case errors.As(err, &remote) && remote.Code == controlapi.CodeBadRequest:
+			return &exitError{ExitUsage, err}
+		}
+		last = err
+	}
+	return failed("no control host answered: %w", last)
+}
+
+// submit sends a signed bundle until a control host gives a definite answer.
+// After a lost response it sends the same content to another control host,
+// which gives the same answer as the first would have.
+func (c *client) submit(ctx context.Context, signed *bundle.Signed) (*history.Result, error) {
+	body, err := json.Marshal(signed)
+	if err != nil {
+		return nil, failed("encode signed bundle: %w", err)
+	}
+	maybeSent := false
+	last := errors.New("no control host is configured")
+	for {
+		for _, addr := range c.addrs {
+			result, sent, err := c.submitTo(ctx, addr, body)
+			if result != nil {
+				return result, nil
+			}
+			var exit *exitError
+			if errors.As(err, &exit) && !maybeSent {
+				return nil, err
+			}
+			maybeSent = maybeSent || sent
+			last = fmt.Errorf("%s: %w", addr, err)
+		}
+		select {
+		case <-time.After(retryPause):
+		case <-ctx.Done():
+			if maybeSent {
+				return nil, unknown("no control host told whether the bundle was accepted; submit the same file again (%w)", last)
+			}
+			return nil, failed("the bundle was not submitted: %w", last)
+		}
+	}
+}
+
+// submitTo sends once. sent reports that the submission may be accepted although no result came back.
+func (c *client) submitTo(ctx context.Context, addr string, body []byte) (result *history.Result, sent bool, err error) {
+	answer, status, err := c.request(ctx, addr, http.MethodPost, controlapi.PathBundles, body)
+	if err != nil {
+		var op *net.OpError
+		return nil, !(errors.As(err, &op) && op.Op == "dial"), err
+	}
+	switch status {
+	case http.StatusOK, http.StatusConflict, http.StatusUnprocessableEntity:
+		result = &history.Result{}
+		if err := json.Unmarshal(answer, result); err != nil || result.Outcome == "" {
+			return nil, true, fmt.Errorf("response cannot be decoded: %s", answer)
+		}
+		return result, true, nil
+	}
+	err = decode(answer, status, nil)
+	var remote *remoteError
+	if !errors.As(err, &remote) {
+		return nil, true, err
+	}
+	switch remote.Code {
+	case controlapi.CodeBadRequest:
+		return nil, false, &exitError{ExitUsage, err}
+	case controlapi.CodeNotReady:
+		return nil, false, &exitError{ExitFailed, err}
+	case controlapi.CodeNoLeader:
+		return nil, false, err
+	}
+	return nil, true, err
+}
+
+func (c *client) request(ctx context.Context, addr, method, path string, body []byte) ([]byte, int, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, 0, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, 0, err
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	return answer, resp.StatusCode, err
+}
+
+func decode(body []byte, status int, dst any) error {
+	if status == http.StatusOK {
+		return json.Unmarshal(body, dst)
+	}
+	var wrapped controlapi.ErrorBody
+	if err := json.Unmarshal(body, &wrapped); err != nil || wrapped.Error.Code == "" {
+		return fmt.Errorf("status %d: %s", status, body)
+	}
+	return &remoteError{wrapped.Error}
+}
--- /dev/null
+++ b/internal/ctl/exit.go
@@ -0,0 +1,48 @@
+package ctl
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Exit codes.
+const (
+	ExitDone    = 0
+	ExitFailed  = 1 // refused or failed; nothing was changed unless the message says so
+	ExitUsage   = 2 // wrong usage or bad input
+	ExitUnknown = 3 // the submission may or may not have been accepted
+)
+
+// exitError is an error with its exit code.
+type exitError struct {
+	code int
+	err  error
+}
+
+func (e *exitError) Error() string { return e.err.Error() }
+
+// Unwrap returns the cause.
+func (e *exitError) Unwrap() error { return e.err }
+
+func failed(format string, args ...any) error {
+	return &exitError{ExitFailed, fmt.Errorf(format, args...)}
+}
+
+func badInput(format string, args ...any) error {
+	return &exitError{ExitUsage, fmt.Errorf(format, args...)}
+}
+
+func unknown(format string, args ...any) error {
+	return &exitError{ExitUnknown, fmt.Errorf(format, args...)}
+}
+
+func exitCode(err error) int {
+	if err == nil {
+		return ExitDone
+	}
+	var exit *exitError
+	if errors.As(err, &exit) {
+		return exit.code
+	}
+	return ExitFailed
+}
--- /dev/null
+++ b/internal/rollout/active.go
@@ -0,0 +1,10 @@
+package rollout
+
+import "github.com/hornbeamstack/hornbeamstack/pkg/bundle"
+
+// Active is the version in force on a host. It is never changed.
+type Active struct {
+	Bundle  *bundle.Bundle
+	Version uint64
+	Root    bundle.Digest
+}
--- /dev/null
+++ b/internal/rollout/puller.go
@@ -0,0 +1,117 @@
+package rollout
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/peer"
+	"github.com/hornbeamstack/hornbeamstack/internal/settings"
+	"github.com/hornbeamstack/hornbeamstack/pkg/bundle"
+)
+
+const (
+	zonePullInterval    = time.Second
+	controlPullInterval = 2 * time.Second
+	// pullTimeout bounds one question; it admits a snapshot of 640,000 caller blocks.
+	pullTimeout = 5 * time.Second
+	// startTimeout bounds the questions at start-up. Hosts that do not answer
+	// within it count as out of reach.
+	startTimeout = time.Second
+)
+
+// Puller of an entry host asks zone peers and control hosts for newer versions.
+type Puller struct {
+	Host         string
+	Zone         string
+	ControlHosts []settings.Member
+	ZoneHosts    []settings.Member // used until a bundle names the hosts of the zone
+	Holder       *Holder
+	Client       *peer.Client
+	Reporter     *Reporter
+	Log          *log.Logger
+}
+
+// Start asks all zone peers and control hosts once and returns when each has
+// answered or is out of reach. It reports whether a version is in force; the
+// host must not serve before that.
+func (p *Puller) Start(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, addr := range append(p.zonePeers(), p.controlPeers()...) {
+		wg.Go(func() { p.ask(ctx, addr) })
+	}
+	wg.Wait()
+	return p.Holder.Current() != nil
+}
+
+// Run pulls until ctx ends.
+func (p *Puller) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { p.loop(ctx, zonePullInterval, p.zonePeers) })
+	wg.Go(func() { p.loop(ctx, controlPullInterval, p.controlPeers) })
+	wg.Wait()
+}
+
+func (p *Puller) loop(ctx context.Context, interval time.Duration, peers func() []string) {
+	// A random first wait spreads the questions of hosts that started together.
+	timer := time.NewTimer(rand.N(interval))
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		if addrs := peers(); len(addrs) > 0 {
+			ask, cancel := context.WithTimeout(ctx, pullTimeout)
+			p.ask(ask, addrs[rand.IntN(len(addrs))])
+			cancel()
+		}
+		p.Reporter.Report()
+		timer.Reset(interval)
+	}
+}
+
+func (p *Puller) ask(ctx context.Context, addr string) {
+	before := p.Holder.Current()
+	leader, err := fetch(ctx, p.Client, p.Holder, addr)
+	p.Reporter.SetLeader(leader)
+	if err != nil {
+		p.Log.Debug("bundle fetch failed", "addr", addr, "err", err)
+	}
+	if after := p.Holder.Current(); after != before {
+		p.Log.Info("bundle fetched", "version", after.Version, "from", addr)
+		p.Reporter.Report()
+	}
+}
+
+// zonePeers returns the other entry hosts of the zone: from the bundle if there
+// is one, else from the settings.
+func (p *Puller) zonePeers() []string {
+	var addrs []string
+	if a := p.Holder.Current(); a != nil {
+		for _, h := range a.Bundle.Hosts {
+			if h.Role == bundle.RoleEntry && h.AvailabilityZone == p.Zone && h.Name != p.Host {
+				addrs = append(addrs, h.Peer)
+			}
+		}
+		return addrs
+	}
+	for _, m := range p.ZoneHosts {
+		addrs = append(addrs, m.Peer)
+	}
+	return addrs
+}
+
+func (p *Puller) controlPeers() []string {
+	var addrs []string
+	for _, m := range p.ControlHosts {
+		addrs = append(addrs, m.Peer)
+	}
+	return addrs
+}
--- a/pkg/bundle/block.go
+++ b/pkg/bundle/block.go
@@ -2,6 +2,6 @@
 
 // CallerBlock maps a block of caller addresses to its home availability zone.
 type CallerBlock struct {
-	Prefix           string `toml:"prefix"` // CIDR
-	AvailabilityZone string `toml:"zone"`
+	Prefix           string `toml:"prefix" cbor:"1,keyasint" json:"prefix"` // CIDR
+	AvailabilityZone string `toml:"zone" cbor:"2,keyasint" json:"zone"`
 }
--- a/pkg/bundle/bundle.go
+++ b/pkg/bundle/bundle.go
@@ -4,13 +4,13 @@
 
 // Bundle is the content of one version. Operators write it as TOML.
 type Bundle struct {
-	Version    uint64             `toml:"version"`
-	Deployment string             `toml:"deployment"`
-	Regions    []Region           `toml:"region"`
-	Zones      []AvailabilityZone `toml:"zone"`
-	Hosts      []Host             `toml:"host"`
-	Links      []Link             `toml:"link"`
-	Services   []Service          `toml:"service"`
-	Blocks     []CallerBlock      `toml:"block"`
-	Drains     []Drain            `toml:"drain"`
+	Version    uint64             `toml:"version" json:"version"`
+	Deployment string             `toml:"deployment" json:"deployment"`
+	Regions    []Region           `toml:"region" json:"region"`
+	Zones      []AvailabilityZone `toml:"zone" json:"zone"`
+	Hosts      []Host             `toml:"host" json:"host"`
+	Links      []Link             `toml:"link" json:"link"`
+	Services   []Service          `toml:"service" json:"service"`
+	Blocks     []CallerBlock      `toml:"block" json:"block"`
+	Drains     []Drain            `toml:"drain" json:"drain"`
 }
--- /dev/null
+++ b/pkg/bundle/check_drains.go
@@ -0,0 +1,94 @@
+package bundle
+
+import "net/netip"
+
+func (c *checker) checkDrains() {
+	seen := duplicates{}
+	hosts := map[string]bool{}
+	for _, h := range c.b.Hosts {
+		hosts[h.Name] = h.Role == RoleEntry
+	}
+	for i, d := range c.b.Drains {
+		key := at("drain", i, "name")
+		c.unique(seen, key, string(d.Kind)+" "+d.Name)
+		switch d.Kind {
+		case DrainTarget:
+			c.checkTargetDrain(key, d.Name)
+		case DrainZone:
+			if _, ok := c.zones[d.Name]; !ok {
+				c.unknownZone(key, d.Name)
+			}
+		case DrainRegion:
+			if !c.regions[d.Name] {
+				c.add(key, "region %q does not exist", d.Name)
+			}
+		case DrainHost:
+			if !hosts[d.Name] {
+				c.add(key, "entry host %q does not exist", d.Name)
+			}
+		default:
+			c.add(at("drain", i, "kind"), "must be target, zone, region or host, not %q", d.Kind)
+		}
+	}
+	c.checkSomethingServes()
+}
+
+func (c *checker) checkTargetDrain(key, name string) {
+	if message := AddressProblem(name); message != "" {
+		c.add(key, "%s", message)
+		return
+	}
+	addr := netip.MustParseAddrPort(name).Addr()
+	for _, z := range c.b.Zones {
+		for _, text := range z.TargetPrefixes {
+			if p, err := netip.ParsePrefix(text); err == nil && p.Contains(addr) {
+				return
+			}
+		}
+	}
+	c.add(key, "target %s is in no availability zone's target prefixes", name)
+}
+
+// checkSomethingServes refuses drains that together leave no entry host.
+func (c *checker) checkSomethingServes() {
+	entries := 0
+	for _, h := range c.b.Hosts {
+		if h.Role != RoleEntry {
+			continue
+		}
+		entries++
+		if !c.b.HostDrained(&h) {
+			return
+		}
+	}
+	if entries > 0 {
+		c.add("drain", "drains leave no entry host in service")
+	}
+}
+
+// HostDrained reports whether a drain of the host, its availability zone or its region is in force.
+func (b *Bundle) HostDrained(h *Host) bool {
+	region := ""
+	for i := range b.Zones {
+		if b.Zones[i].Name == h.AvailabilityZone {
+			region = b.Zones[i].Region
+		}
+	}
+	for _, d := range b.Drains {
+		switch d.Kind {
+		case DrainHost:
+			if d.Name == h.Name {
+				return true
+			}
+		case DrainZone:
+			if d.Name == h.AvailabilityZone {
+				return true
+			}
+		case DrainRegion:
+			if d.Name == region {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/bundle/checker.go
@@ -0,0 +1,96 @@
+package bundle
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"github.com/hornbeamstack/hornbeamstack/pkg/finding"
+)
+
+// checker collects the findings of one bundle.
+type checker struct {
+	file     string
+	b        *Bundle
+	blockKey func(i int, field string) string
+	found    finding.List
+
+	regions map[string]bool
+	zones   map[string]string // zone to region
+}
+
+func newChecker(file string, b *Bundle, blockKey func(int, string) string) *checker {
+	return &checker{file: file, b: b, blockKey: blockKey, regions: map[string]bool{}, zones: map[string]string{}}
+}
+
+// CheckContent checks a bundle that does not come from a TOML file.
+func CheckContent(name string, b *Bundle) finding.List {
+	c := newChecker(name, b, func(i int, _ string) string { return "block/" + b.Blocks[i].Prefix })
+	c.run()
+	return c.found
+}
+
+func (c *checker) run() {
+	c.checkRoot()
+	c.checkRegions()
+	c.checkZones()
+	c.checkTargetPrefixes()
+	c.checkHosts()
+	c.checkSpread()
+	c.checkLinks()
+	c.checkServices()
+	c.checkBlocks()
+	c.checkDrains()
+}
+
+func (c *checker) add(key, format string, args ...any) {
+	c.found.Add(c.file, 0, key, format, args...)
+}
+
+func (c *checker) checkRoot() {
+	if c.b.Version == 0 {
+		c.add("version", "must be 1 or more")
+	}
+	c.name("deployment", c.b.Deployment)
+}
+
+// name checks that a name is usable as part of a record key and in a URL.
+func (c *checker) name(key, name string) bool {
+	if name == "" {
+		c.add(key, "is missing")
+		return false
+	}
+	for _, r := range name {
+		if (r < 'a' || r > 'z') && (r < '0' || r > '9') && r != '-' && r != '_' && r != '.' {
+			c.add(key, "%q may hold only a to z, 0 to 9, '-', '_' and '.'", name)
+			return false
+		}
+	}
+	return true
+}
+
+// duplicates reports a value seen before.
+type duplicates map[string]string
+
+func (c *checker) unique(seen duplicates, key, value string) {
+	if value == "" {
+		return
+	}
+	if first, ok := seen[value]; ok {
+		c.add(key, "%q is already used by %s", value, first)
+		return
+	}
+	seen[value] = key
+}
+
+func at(list string, i int, field string) string {
+	if field == "" {
+		return fmt.Sprintf("%s[%d]", list, i)
+	}
+	return fmt.Sprintf("%s[%d].%s", list, i, field)
+}
+
+// sortFindings orders findings by line and keeps the order of checks within a line.
+func sortFindings(found finding.List) {
+	slices.SortStableFunc(found, func(x, y finding.Finding) int { return cmp.Compare(x.Line, y.Line) })
+}
--- /dev/null
+++ b/pkg/bundle/describe.go
@@ -0,0 +1,35 @@
+package bundle
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+)
+
+// Describe renders a change for people, with the value as JSON.
+func (c *Change) Describe() string {
+	if c.Removed {
+		return "remove " + c.Key
+	}
+	name, key, _ := strings.Cut(c.Key, "/")
+	for _, k := range kinds {
+		if k.name() != name {
+			continue
+		}
+		if value, err := k.describe(key, c.Value); err == nil {
+			return "set " + c.Key + " " + value
+		}
+	}
+	return fmt.Sprintf("set %s %x", c.Key, c.Value)
+}
+
+func (k *listKind[T]) describe(key string, value []byte) (string, error) {
+	item, err := k.decode(&Bundle{}, key, value)
+	if err != nil {
+		return "", err
+	}
+	text, err := json.Marshal(item)
+	return string(text), err
+}
+
+func (metaKind) describe(_ string, value []byte) (string, error) { return string(value), nil }
--- a/pkg/bundle/drain.go
+++ b/pkg/bundle/drain.go
@@ -13,6 +13,6 @@
 
 // Drain keeps new work away from a target, availability zone, region or entry host.
 type Drain struct {
-	Kind DrainKind `toml:"kind"`
-	Name string    `toml:"name"`
+	Kind DrainKind `toml:"kind" cbor:"1,keyasint" json:"kind"`
+	Name string    `toml:"name" cbor:"2,keyasint" json:"name"`
 }
--- /dev/null
+++ b/pkg/bundle/kind.go
@@ -0,0 +1,197 @@
+package bundle
+
+import (
+	"cmp"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// kind handles the records of one list of a bundle.
+type kind interface {
+	name() string
+	sort(b *Bundle)
+	walk(b *Bundle, fn func(key, value []byte))
+	diff(from, to *Bundle, change func(Change))
+	apply(from, to *Bundle, changes []Change) error
+	describe(key string, value []byte) (string, error)
+}
+
+// kinds is in canonical order.
+var kinds = []kind{
+	metaKind{},
+	&listKind[Region]{kindName: "region", list: func(b *Bundle) *[]Region { return &b.Regions },
+		key: func(r *Region) string { return r.Name }, equal: equalDeep[Region], encode: encodeValue[Region], decode: decodeValue[Region]},
+	&listKind[AvailabilityZone]{kindName: "zone", list: func(b *Bundle) *[]AvailabilityZone { return &b.Zones },
+		key: func(z *AvailabilityZone) string { return z.Name }, equal: equalDeep[AvailabilityZone],
+		encode: encodeValue[AvailabilityZone], decode: decodeValue[AvailabilityZone],
+		tidy: func(z *AvailabilityZone) { z.TargetPrefixes = sorted(z.TargetPrefixes) }},
+	&listKind[Host]{kindName: "host", list: func(b *Bundle) *[]Host { return &b.Hosts },
+		key: func(h *Host) string { return h.Name }, equal: equalDeep[Host], encode: encodeValue[Host], decode: decodeValue[Host]},
+	&listKind[Link]{kindName: "link", list: func(b *Bundle) *[]Link { return &b.Links },
+		key: linkKey, equal: equalDeep[Link], encode: encodeValue[Link], decode: decodeValue[Link],
+		tidy: func(l *Link) { slices.Sort(l.Regions[:]) }},
+	&listKind[Service]{kindName: "service", list: func(b *Bundle) *[]Service { return &b.Services },
+		key: func(s *Service) string { return s.Name }, equal: equalDeep[Service], encode: encodeValue[Service], decode: decodeValue[Service],
+		tidy: func(s *Service) {
+			s.RepeatableMethods, s.BulkPrefixes = sorted(s.RepeatableMethods), sorted(s.BulkPrefixes)
+		}},
+	&listKind[CallerBlock]{kindName: "block", list: func(b *Bundle) *[]CallerBlock { return &b.Blocks },
+		key: func(c *CallerBlock) string { return c.Prefix }, equal: func(x, y *CallerBlock) bool { return *x == *y },
+		encode: func(c *CallerBlock, buf []byte) []byte { return append(buf, c.AvailabilityZone...) },
+		decode: decodeBlock},
+	&listKind[Drain]{kindName: "drain", list: func(b *Bundle) *[]Drain { return &b.Drains },
+		key: func(d *Drain) string { return string(d.Kind) + "/" + d.Name }, equal: equalDeep[Drain],
+		encode: encodeValue[Drain], decode: decodeValue[Drain]},
+}
+
+// listKind handles one list; key is unique within it.
+type listKind[T any] struct {
+	kindName string
+	list     func(*Bundle) *[]T
+	key      func(*T) string
+	equal    func(x, y *T) bool
+	encode   func(item *T, buf []byte) []byte
+	decode   func(b *Bundle, key string, value []byte) (T, error)
+	tidy     func(*T) // puts an item into canonical form, may be nil
+}
+
+func (k *listKind[T]) name() string { return k.kindName }
+
+func (k *listKind[T]) sort(b *Bundle) {
+	items := *k.list(b)
+	if k.tidy != nil {
+		for i := range items {
+			k.tidy(&items[i])
+		}
+	}
+	byKey := func(x, y T) int { return cmp.Compare(k.key(&x), k.key(&y)) }
+	if !slices.IsSortedFunc(items, byKey) {
+		slices.SortFunc(items, byKey)
+	}
+}
+
+func (k *listKind[T]) walk(b *Bundle, fn func(key, value []byte)) {
+	key := append([]byte(k.kindName), '/')
+	var value []byte
+	items := *k.list(b)
+	for i := range items {
+		key = append(key[:len(k.kindName)+1], k.key(&items[i])...)
+		value = k.encode(&items[i], value[:0])
+		fn(key, value)
+	}
+}
+
+func (k *listKind[T]) diff(from, to *Bundle, change func(Change)) {
+	old, next := *k.list(from), *k.list(to)
+	i, j := 0, 0
+	for i < len(old) || j < len(next) {
+		order := k.compare(old, i, next, j)
+		switch {
+		case order < 0:
+			change(Change{Key: k.kindName + "/" + k.key(&old[i]), Removed: true})
+			i++
+		case order > 0 || !k.equal(&old[i], &next[j]):
+			change(Change{Key: k.kindName + "/" + k.key(&next[j]), Value: k.encode(&next[j], nil)})
+			if order == 0 {
+				i++
+			}
+			j++
+		default:
+			i++
+			j++
+		}
+	}
+}
+
+// compare orders the items at i and j; the end of a list is after all items.
+func (k *listKind[T]) compare(old []T, i int, next []T, j int) int {
+	switch {
+	case i == len(old):
+		return 1
+	case j == len(next):
+		return -1
+	}
+	return cmp.Compare(k.key(&old[i]), k.key(&next[j]))
+}
+
+func (k *listKind[T]) apply(from, to *Bundle, changes []Change) error {
+	old := *k.list(from)
+	if len(changes) == 0 {
+		*k.list(to) = old
+		return nil
+	}
+	next := make([]T, 0, len(old)+len(changes))
+	i := 0
+	for _, c := range changes {
+		key := strings.TrimPrefix(c.Key, k.kindName+"/")
+		rest := old[i:]
+		n, exists := slices.BinarySearchFunc(rest, key, func(item T, key string) int { return cmp.Compare(k.key(&item), key) })
+		next = append(next, rest[:n]...)
+		i += n
+		if exists {
+			i++
+		}
+		if c.Removed {
+			if !exists {
+				return fmt.Errorf("delta removes %s, which does not exist", c.Key)
+			}
+			continue
+		}
+		item, err := k.decode(from, key, c.Value)
+		if err != nil {
+			return fmt.Errorf("delta record %s: %w", c.Key, err)
+		}
+		if got := k.key(&item); got != key {
+			return fmt.Errorf("delta record %s holds %q", c.Key, got)
+		}
+		next = append(next, item)
+	}
+	*k.list(to) = append(next, old[i:]...)
+	return nil
+}
+
+func equalDeep[T any](x, y *T) bool { return reflect.DeepEqual(x, y) }
+
+func encodeValue[T any](item *T, buf []byte) []byte {
+	value, err := encoding.Marshal(item)
+	if err != nil {
+		panic(err) // records hold only strings and numbers, which always encode
+	}
+	return append(buf, value...)
+}
+
+func decodeValue[T any](_ *Bundle, _ string, value []byte) (T, error) {
+	var item T
+	return item, cbor.Unmarshal(value, &item)
+}
+
+func decodeBlock(b *Bundle, key string, value []byte) (CallerBlock, error) {
+	zone := string(value)
+	for i := range b.Zones {
+		if b.Zones[i].Name == zone {
+			zone = b.Zones[i].Name // shares the string between all blocks of the zone
+		}
+	}
+	return CallerBlock{Prefix: key, AvailabilityZone: zone}, nil
+}
+
+func linkKey(l *Link) string {
+	a, b := l.Regions[0], l.Regions[1]
+	if a > b {
+		a, b = b, a
+	}
+	return a + "/" + b
+}
+
+func sorted(list []string) []string {
+	if len(list) == 0 {
+		return nil // an empty and an absent list are the same content
+	}
+	list = slices.Clone(list)
+	slices.Sort(list)
+	return list
+}
--- /dev/null
+++ b/pkg/bundle/write.go
@@ -0,0 +1,38 @@
+package bundle
+
+import (
+	"bytes"
+	"fmt"
+
+	"github.com/BurntSushi/toml"
+)
+
+// TOML renders a canonical bundle as a file that Parse accepts, with caller
+// blocks grouped by availability zone.
+func (b *Bundle) TOML() ([]byte, error) {
+	doc := document{Version: b.Version, Deployment: b.Deployment, Regions: b.Regions, Zones: b.Zones,
+		Hosts: b.Hosts, Links: b.Links, Services: b.Services, Groups: groups(b.Blocks), Drains: b.Drains}
+	var buf bytes.Buffer
+	encoder := toml.NewEncoder(&buf)
+	encoder.Indent = ""
+	if err := encoder.Encode(&doc); err != nil {
+		return nil, fmt.Errorf("render bundle: %w", err)
+	}
+	return buf.Bytes(), nil
+}
+
+func groups(blocks []CallerBlock) []BlockGroup {
+	var all []BlockGroup
+	place := map[string]int{}
+	for i := range blocks {
+		zone := blocks[i].AvailabilityZone
+		g, ok := place[zone]
+		if !ok {
+			g = len(all)
+			place[zone] = g
+			all = append(all, BlockGroup{AvailabilityZone: zone})
+		}
+		all[g].Prefixes = append(all[g].Prefixes, blocks[i].Prefix)
+	}
+	return all
+}
