Add stand-in target and the request path of an entry host

Cause: tests and the demo need a target that follows the target protocol, and an entry host that forwards requests to it. Change: internal/standin and hornbeam-standin; internal/entry with the request path, look-up, announcement, health and shutdown parts behind interfaces; pkg/retry with the retry budget and rule.

--- /dev/null
+++ b/internal/entry/claiming.go
@@ -0,0 +1,88 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/pkg/claim"
+)
+
+// beginClaim asks for the right to send. It reports done if a recorded answer was sent to the caller.
+func (x *exchange) beginClaim() (done bool, problem *Problem) {
+	ctx, span := x.forwarder.span(x.ctx, "entry.claim")
+	defer span.End()
+	defer x.waited(x.metrics.claimWait, time.Now())
+	ctx, cancel := context.WithTimeout(ctx, x.timeLeft(x.call.deadline))
+	defer cancel()
+	held, answer, err := x.config.Claims.Begin(ctx, x.call.service.Name, x.call.key)
+	switch {
+	case err != nil:
+		return false, x.claimProblem(ctx, err)
+	case answer != nil:
+		return true, x.replay(answer)
+	}
+	x.claim = held
+	return false, nil
+}
+
+func (x *exchange) claimProblem(ctx context.Context, err error) *Problem {
+	var refused *ClaimRefusedError
+	switch {
+	case errors.As(err, &refused):
+		return &Problem{Status: claimStatus(refused.Outcome), Code: refused.Code, Outcome: refused.Outcome,
+			Message: refused.Message, RetryAfter: refused.RetryAfter}
+	case x.ctx.Err() != nil:
+		return unknown(statusCallerGone, CodeCallerGone, "caller closed its connection")
+	case ctx.Err() != nil:
+		return unknown(http.StatusGatewayTimeout, CodeDeadline, "the claim was not decided before the deadline")
+	}
+	return unknown(http.StatusServiceUnavailable, CodeInternal, "claim: %v", err)
+}
+
+// claimStatus avoids statuses that HTTP libraries retry by themselves, unless the request did not run.
+func claimStatus(outcome string) int {
+	if outcome == OutcomeNotRun {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusConflict
+}
+
+// replay sends the recorded answer of an earlier run.
+func (x *exchange) replay(a *claim.Answer) *Problem {
+	if a.BodyDropped {
+		return &Problem{Status: http.StatusGone, Code: CodeAnswerNotKept, Outcome: OutcomeDone,
+			Message: "the request ran and was answered with status " + http.StatusText(a.Status) + "; the body was too large to keep"}
+	}
+	h := x.w.Header()
+	for name, values := range a.Header {
+		h[name] = values
+	}
+	keepContentType(h)
+	h.Set(HeaderOutcome, OutcomeReplayed)
+	x.w.WriteHeader(a.Status)
+	_, _ = x.w.Write(a.Body)
+	x.metrics.outcome(OutcomeReplayed)
+	return nil
+}
+
+// finishClaim records the answer for resends.
+func (x *exchange) finishClaim(a claim.Answer) {
+	if x.claim != nil {
+		x.claim.Finish(a)
+		x.claim = nil
+	}
+}
+
+// settle ends a claim that has no answer: it is released only if nothing ran.
+func (x *exchange) settle() {
+	switch {
+	case x.claim == nil:
+	case x.mayRun || x.sending:
+		x.claim.Unknown()
+	default:
+		x.claim.Release()
+	}
+	x.claim = nil
+}
--- /dev/null
+++ b/internal/entry/config.go
@@ -0,0 +1,48 @@
+package entry
+
+import (
+	"errors"
+	"net"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/telemetry"
+	"github.com/hornbeamstack/hornbeamstack/pkg/retry"
+)
+
+// Config joins the HTTP surface to the other parts of an entry host.
+type Config struct {
+	Listener  net.Listener
+	Host      string // name of this host, part of attempt identifiers
+	Directory Directory
+	Permits   Permits
+	Claims    Claims
+	Links     Links
+	Lookups   Lookups
+	Targets   Targets
+	Ready     func() error // why the host cannot serve yet, or nil
+	Retries   retry.Limits // DefaultLimits if zero
+	Registry  metrics.Registry
+	Tracing   *telemetry.Tracing
+	Log       *log.Logger
+	Now       func() time.Time // time.Now if nil
+}
+
+func (c Config) withDefaults() (Config, error) {
+	if c.Listener == nil || c.Directory == nil || c.Permits == nil || c.Claims == nil || c.Links == nil ||
+		c.Lookups == nil || c.Targets == nil || c.Registry == nil || c.Tracing == nil || c.Log == nil {
+		return c, errors.New("entry: the configuration lacks a part")
+	}
+	if c.Ready == nil {
+		c.Ready = func() error { return nil }
+	}
+	if c.Retries == (retry.Limits{}) {
+		c.Retries = retry.DefaultLimits
+	}
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/entry/doc.go
@@ -0,0 +1,3 @@
+// Package entry is the HTTP surface of an entry host: the request path,
+// look-ups, announcements of targets, health and graceful shutdown.
+package entry
--- /dev/null
+++ b/internal/entry/exchange.go
@@ -0,0 +1,142 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/hornbeamstack/hornbeamstack/pkg/retry"
+)
+
+// exchange is one request of a caller on its way to an answer.
+type exchange struct {
+	*forwarder
+	call    call
+	w       http.ResponseWriter
+	r       *http.Request
+	ctx     context.Context // ends when the caller is gone
+	span    trace.Span
+	arrived time.Time
+
+	claim    Claim    // nil without a claim, and once settled
+	sending  bool     // an attempt is under way
+	mayRun   bool     // a target may have run an attempt of this request
+	excluded []string // targets that failed an attempt
+
+	elsewhere time.Duration // time spent waiting for claims, permits and targets
+}
+
+// run answers the request, or returns the problem that the caller is to be told.
+func (x *exchange) run() *Problem {
+	if x.call.key != "" {
+		done, problem := x.beginClaim()
+		if done || problem != nil {
+			return problem
+		}
+		defer x.settle()
+	}
+	for {
+		permit, problem := x.acquire()
+		if problem != nil {
+			return problem
+		}
+		x.sending = true
+		a := newAttempt(x, permit)
+		response, failure := a.send()
+		if failure == nil {
+			return x.deliver(a, response)
+		}
+		if problem := x.afterFailure(a, failure); problem != nil {
+			return problem
+		}
+	}
+}
+
+// afterFailure returns nil if the request may be sent again.
+func (x *exchange) afterFailure(a *attempt, failure *failure) *Problem {
+	x.metrics.attemptEnd(failure.outcome.String())
+	a.end(failure.slotOutcome())
+	decision := x.budgets.decide(x.call.service.Name, retry.Attempt{
+		Method: x.call.method, RepeatableMethods: x.call.service.RepeatableMethods,
+		Outcome: failure.outcome, Sent: failure.sent, BodyRead: failure.bodyRead,
+		Now: x.config.Now(), Deadline: x.call.deadline,
+	})
+	x.sending = false
+	x.mayRun = x.mayRun || decision.Truth == retry.Unknown
+	if !decision.Repeat {
+		return x.problemOf(failure)
+	}
+	x.metrics.retries.Inc(1)
+	if failure.outcome != retry.Void {
+		x.excluded = append(x.excluded, a.permit.Target())
+	}
+	return nil
+}
+
+// waited records the time of a step that depends on others.
+func (x *exchange) waited(t metrics.Timer, start time.Time) {
+	d := time.Since(start)
+	t.Update(d)
+	x.elsewhere += d
+}
+
+// acquire waits for a permit until the deadline.
+func (x *exchange) acquire() (Permit, *Problem) {
+	ctx, span := x.forwarder.span(x.ctx, "entry.permit")
+	defer span.End()
+	defer x.waited(x.metrics.permitWait, time.Now())
+	ctx, cancel := context.WithTimeout(ctx, x.timeLeft(x.call.deadline))
+	defer cancel()
+	permit, err := x.config.Permits.Acquire(ctx, PermitRequest{Service: x.call.service.Name, Class: x.call.class,
+		Deadline: x.call.deadline, Exclude: x.excluded, AllowRemote: true})
+	if err == nil {
+		return permit, nil
+	}
+	var busy *BusyError
+	switch {
+	case errors.As(err, &busy):
+		p := x.truthful(notRun(http.StatusServiceUnavailable, CodeBusy, "no slot becomes free before the deadline"))
+		p.RetryAfter = busy.RetryAfter
+		return nil, p
+	case x.ctx.Err() != nil:
+		return nil, x.truthful(notRun(statusCallerGone, CodeCallerGone, "caller closed its connection"))
+	case ctx.Err() != nil:
+		return nil, x.truthful(notRun(http.StatusGatewayTimeout, CodeDeadline, "no slot became free before the deadline"))
+	}
+	return nil, x.truthful(notRun(http.StatusServiceUnavailable, CodeBusy, "no slot: %v", err))
+}
+
+// statusCallerGone is logged for callers that left; they do not receive it.
+const statusCallerGone = 499
+
+// truthful turns "not run" into "unknown" if an earlier attempt may have run.
+func (x *exchange) truthful(p *Problem) *Problem {
+	if x.mayRun {
+		p.Outcome = OutcomeUnknown
+	}
+	return p
+}
+
+// problemOf describes a failed attempt to the caller.
+func (x *exchange) problemOf(f *failure) *Problem {
+	switch f.outcome {
+	case retry.CallerGone:
+		return x.truthful(notRun(statusCallerGone, CodeCallerGone, "%v", f.err))
+	case retry.TimedOut:
+		return x.truthful(notRun(http.StatusGatewayTimeout, CodeDeadline, "no response before the deadline"))
+	case retry.Shed:
+		p := x.truthful(notRun(http.StatusServiceUnavailable, CodeShed, "the target refused the request"))
+		p.RetryAfter = f.retryAfter
+		return p
+	case retry.Unreached, retry.Void:
+		return x.truthful(notRun(http.StatusServiceUnavailable, CodeTargetUnreachable, "nothing was sent: %v", f.err))
+	}
+	if f.badResponse {
+		return x.truthful(notRun(http.StatusBadGateway, CodeBadResponse, "%v", f.err))
+	}
+	return x.truthful(notRun(http.StatusBadGateway, CodeTargetFailed, "%v", f.err))
+}
--- /dev/null
+++ b/internal/entry/failure.go
@@ -0,0 +1,31 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/pkg/retry"
+	"github.com/hornbeamstack/hornbeamstack/pkg/slots"
+)
+
+// failure tells why an attempt has no response for the caller.
+type failure struct {
+	outcome     retry.Outcome
+	sent        bool // a byte may have reached the target
+	bodyRead    bool // a byte of the caller's body was read
+	badResponse bool // the target responded, against the protocol
+	retryAfter  time.Duration
+	err         error
+}
+
+// slotOutcome tells the zone how the attempt ended.
+func (f *failure) slotOutcome() slots.Outcome {
+	switch {
+	case !f.sent:
+		return slots.OutcomeUnsent
+	case f.outcome == retry.Shed:
+		return slots.OutcomeShed
+	case f.outcome == retry.TimedOut || f.outcome == retry.CallerGone:
+		return slots.OutcomeAbandoned
+	}
+	return slots.OutcomeFailed
+}
--- /dev/null
+++ b/internal/entry/surface.go
@@ -0,0 +1,142 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	kratos "github.com/go-kratos/kratos/v2/transport/http"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/telemetry"
+)
+
+const (
+	controlTimeout    = 2 * time.Second // look-ups and announcements
+	readHeaderTimeout = 10 * time.Second
+	callerIdleTimeout = 75 * time.Second
+	maxRequestHeader  = 64 << 10 // bytes; net/http adds 4 KB
+)
+
+// Surface is the HTTP server of an entry host.
+type Surface struct {
+	config  Config
+	server  *kratos.Server
+	metrics *instruments
+	forward *forwarder
+	leaving atomic.Bool
+}
+
+// NewSurface sets up the routes; Serve starts to accept connections.
+func NewSurface(c Config) (*Surface, error) {
+	c, err := c.withDefaults()
+	if err != nil {
+		return nil, err
+	}
+	s := &Surface{config: c, metrics: newInstruments(c.Registry)}
+	s.forward = newForwarder(c, s.metrics, s.refuse)
+	s.server = kratos.NewServer(
+		kratos.Listener(c.Listener),
+		kratos.Address(c.Listener.Addr().String()),
+		kratos.Timeout(controlTimeout),
+		kratos.StrictSlash(false),
+		kratos.Filter(s.split),
+		kratos.NotFoundHandler(http.HandlerFunc(s.handleNotFound)),
+		kratos.MethodNotAllowedHandler(http.HandlerFunc(s.handleNotFound)),
+	)
+	s.server.ReadHeaderTimeout = readHeaderTimeout
+	s.server.IdleTimeout = callerIdleTimeout
+	s.server.MaxHeaderBytes = maxRequestHeader
+	s.server.ErrorLog = c.Log.StandardLog(log.StandardLogOptions{ForceLevel: log.ErrorLevel})
+	s.server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, conn)
+	}
+	s.route()
+	return s, nil
+}
+
+type connKey struct{}
+
+// split passes requests to services on before the router sees them: the router
+// redirects paths that it regards as unclean and puts a time limit on the context.
+func (s *Surface) split(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		if strings.HasPrefix(r.URL.Path, servicePrefix) {
+			s.forward.ServeHTTP(w, r)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (s *Surface) route() {
+	s.method("/v1/lookup", http.MethodGet, s.handleLookup)
+	s.method("/v1/targets", http.MethodPost, s.handleAnnounce)
+	s.method("/v1/targets/leave", http.MethodPost, s.handleLeave)
+	s.method("/livez", http.MethodGet, s.handleLive)
+	s.method("/readyz", http.MethodGet, s.handleReady)
+	s.method("/metrics", http.MethodGet, telemetry.MetricsHandler(s.config.Registry).ServeHTTP)
+}
+
+func (s *Surface) method(path, method string, h http.HandlerFunc) {
+	s.server.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != method {
+			w.Header().Set("Allow", method)
+			s.refuse(w, r, notRun(http.StatusMethodNotAllowed, CodeMethodNotAllowed, "%s takes %s only", path, method))
+			return
+		}
+		h(w, r)
+	})
+}
+
+func (s *Surface) handleNotFound(w http.ResponseWriter, r *http.Request) {
+	s.refuse(w, r, notRun(http.StatusNotFound, CodeNotFound, "no such path"))
+}
+
+// Serve accepts connections until Shutdown. The context is the base of all
+// request contexts and must outlive the requests in flight.
+func (s *Surface) Serve(ctx context.Context) error { return s.server.Start(ctx) }
+
+// SetLeaving makes /readyz fail and asks callers to close their connections.
+func (s *Surface) SetLeaving() { s.leaving.Store(true) }
+
+// CloseIdle closes connections to callers and targets that carry no request.
+func (s *Surface) CloseIdle() {
+	s.server.SetKeepAlivesEnabled(false)
+	s.forward.upstream.closeIdle()
+}
+
+// Finish stops accepting connections and waits for all requests in flight.
+func (s *Surface) Finish(ctx context.Context) error {
+	err := s.server.Stop(ctx)
+	s.forward.upstream.closeIdle()
+	return err
+}
+
+// InFlight returns the number of requests to services that have not ended.
+func (s *Surface) InFlight() int64 { return s.metrics.inFlight.Count() }
+
+// refuse answers with the problem and writes one log line.
+func (s *Surface) refuse(w http.ResponseWriter, r *http.Request, p *Problem) {
+	s.metrics.refusal(p.Code)
+	s.config.Log.Info("request refused", "method", r.Method, "path", r.URL.Path, "status", p.Status,
+		"code", p.Code, "outcome", p.Outcome, "message", p.Message)
+	p.write(w)
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
+}
--- /dev/null
+++ b/internal/entry/upstream.go
@@ -0,0 +1,145 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/pkg/bundle"
+	"github.com/hornbeamstack/hornbeamstack/pkg/traffic"
+)
+
+const (
+	dialTimeout = time.Second // targets take about 1 ms to open a connection; a lost SYN is resent after 1 s
+	// idleTimeout is shorter than the 60 s that targets must keep idle
+	// connections open, so that a target does not close one as it is used.
+	idleTimeout = 20 * time.Second
+	// receiveBuffer bounds the bytes that the kernel accepts on a connection
+	// from another region. Linux doubles the value, which gives receiveCharge.
+	receiveBuffer     = receiveCharge / 2
+	maxResponseHeader = 64 << 10
+	transportBuffer   = 4 << 10
+)
+
+// upstream holds the connections to targets.
+type upstream struct {
+	links Links
+
+	mu         sync.Mutex
+	transports map[transportKey]*transport
+}
+
+// transportKey separates connections whose bytes are paid for differently.
+type transportKey struct {
+	service string
+	region  string        // empty for the own region
+	class   traffic.Class // Short for the own region
+}
+
+type transport struct {
+	http *http.Transport
+	idle int
+}
+
+func newUpstream(links Links) *upstream {
+	return &upstream{links: links, transports: map[transportKey]*transport{}}
+}
+
+// transportFor returns the transport for targets of the service in the other region, or in the own one.
+func (u *upstream) transportFor(s bundle.Service, hosts int, region string, class traffic.Class) *http.Transport {
+	key := transportKey{service: s.Name, region: region, class: class}
+	if region == "" {
+		key.class = traffic.Short
+	}
+	idle := idleLimit(s.Connections, hosts, region != "")
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	current := u.transports[key]
+	if current != nil && current.idle == idle {
+		return current.http
+	}
+	if current != nil {
+		current.http.CloseIdleConnections()
+	}
+	current = &transport{http: u.newTransport(key, idle), idle: idle}
+	u.transports[key] = current
+	return current.http
+}
+
+// idleLimit is this host's part of the connections that a target allows. For
+// other regions both classes have connections of their own.
+func idleLimit(connections, hosts int, remote bool) int {
+	limit := connections / max(hosts, 1)
+	if remote {
+		limit /= 2
+	}
+	return limit
+}
+
+func (u *upstream) newTransport(key transportKey, idle int) *http.Transport {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	return &http.Transport{
+		DialContext:            u.dialer(key),
+		DisableCompression:     true, // bodies are passed on as they are
+		DisableKeepAlives:      idle == 0,
+		MaxIdleConnsPerHost:    idle,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxResponseHeader,
+		WriteBufferSize:        transportBuffer,
+		ReadBufferSize:         transportBuffer,
+		Protocols:              protocols,
+	}
+}
+
+func (u *upstream) dialer(key transportKey) func(ctx context.Context, network, addr string) (net.Conn, error) {
+	d := &net.Dialer{Timeout: dialTimeout}
+	if key.region == "" {
+		return func(ctx context.Context, network, addr string) (net.Conn, error) {
+			conn, err := d.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return &targetConn{Conn: conn}, nil
+		}
+	}
+	d.Control = boundReceiveBuffer
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		t := newToll(u.links, key.region, key.class)
+		if err := t.payOpening(ctx); err != nil {
+			t.cancel()
+			return nil, err
+		}
+		conn, err := d.DialContext(ctx, network, addr)
+		if err != nil {
+			t.cancel()
+			return nil, err
+		}
+		return &targetConn{Conn: conn, toll: t}, nil
+	}
+}
+
+// boundReceiveBuffer sets the buffer before the connection is opened, as the
+// window announced in the handshake depends on it.
+func boundReceiveBuffer(_, _ string, raw syscall.RawConn) error {
+	var err error
+	controlErr := raw.Control(func(fd uintptr) {
+		err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+	})
+	if controlErr != nil {
+		return controlErr
+	}
+	return err
+}
+
+// closeIdle closes all idle connections to targets.
+func (u *upstream) closeIdle() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, t := range u.transports {
+		t.http.CloseIdleConnections()
+	}
+}
--- /dev/null
+++ b/internal/standin/announcer.go
@@ -0,0 +1,116 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// announcement is the body of POST /v1/targets.
+type announcement struct {
+	Service     string  `json:"service"`
+	Address     string  `json:"address"`
+	Zone        string  `json:"zone"`
+	Incarnation uint64  `json:"incarnation"`
+	Sequence    uint64  `json:"sequence"`
+	Slots       int     `json:"slots"`
+	Connections int     `json:"connections"`
+	State       string  `json:"state"`
+	Load        float64 `json:"load"` // requests outstanding divided by slots
+}
+
+// announcer tells an entry host about the target, each interval.
+type announcer struct {
+	target   *Target
+	client   *http.Client
+	mu       sync.Mutex
+	sequence uint64
+	entry    int // index of the entry host that took the last announcement
+}
+
+// Time limit of one announcement; an entry host that is slower is passed over.
+const announceTimeout = 500 * time.Millisecond
+
+func newAnnouncer(t *Target) *announcer {
+	return &announcer{target: t, client: &http.Client{Timeout: announceTimeout, Transport: &http.Transport{}}}
+}
+
+func (a *announcer) run(ctx context.Context) {
+	defer a.client.CloseIdleConnections()
+	ticker := time.NewTicker(a.target.config.Interval)
+	defer ticker.Stop()
+	for {
+		if !a.target.Fault().Freeze {
+			a.send(ctx, "/v1/targets", "ready")
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (a *announcer) leave(ctx context.Context) { a.send(ctx, "/v1/targets/leave", "leaving") }
+
+// send tries each entry host once, beginning with the one that took the last announcement.
+func (a *announcer) send(ctx context.Context, path, state string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	entries := a.target.config.Entries
+	a.sequence++
+	for range entries {
+		err := a.post(ctx, entries[a.entry], path, state)
+		if err == nil {
+			a.target.counts.add(func(s *Stats) { s.Announcements++ })
+			return
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		a.target.counts.add(func(s *Stats) { s.AnnounceFails++ })
+		a.entry = (a.entry + 1) % len(entries)
+	}
+}
+
+func (a *announcer) post(ctx context.Context, entry, path, state string) error {
+	c := a.target.config
+	body, err := json.Marshal(announcement{
+		Service: c.Service, Address: a.target.address, Zone: c.Zone, Incarnation: c.Incarnation,
+		Sequence: a.sequence, Slots: c.Slots, Connections: c.Connections, State: state, Load: a.load(),
+	})
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := a.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, 64<<10))
+	if resp.StatusCode >= 300 {
+		return fmt.Errorf("entry host %s answered %s", entry, resp.Status)
+	}
+	return nil
+}
+
+// load returns what the target reports as its load, which a fault may falsify.
+func (a *announcer) load() float64 {
+	switch a.target.Fault().Load {
+	case LoadIdle:
+		return 0
+	case LoadBusy:
+		return 1
+	}
+	return float64(a.target.counts.read().Outstanding) / float64(a.target.config.Slots)
+}
--- /dev/null
+++ b/internal/standin/config.go
@@ -0,0 +1,58 @@
+package standin
+
+import (
+	"errors"
+	"net/netip"
+	"time"
+)
+
+// Config describes one stand-in target.
+type Config struct {
+	Address     string        // IP:port to listen on; port 0 picks a free one
+	Service     string        // service that the target belongs to
+	Zone        string        // availability zone that the target announces
+	Entries     []string      // entry hosts (IP:port) that take announcements; none means no announcements
+	Slots       int           // requests that the target works on at the same time
+	Connections int           // open connections that the target allows
+	Incarnation uint64        // number of this start; 0 takes the clock
+	MeanWork    time.Duration // mean of the exponential work time, used without work_ms; 0 is no work
+	Seed        uint64        // seed of the work times
+	Rate        int           // bytes a second of downloads, 0 for no limit
+	Interval    time.Duration // time between announcements, DefaultInterval if 0
+	IdleTimeout time.Duration // idle connections are closed after this time, DefaultIdleTimeout if 0
+	Fault       Fault         // fault at the start
+}
+
+// Defaults of the target protocol.
+const (
+	DefaultInterval    = time.Second
+	DefaultIdleTimeout = 2 * time.Minute
+	// StallLimit is the time after which a connection that accepts no bytes is closed (target contract).
+	StallLimit = 30 * time.Second
+)
+
+func (c Config) withDefaults(now time.Time) Config {
+	if c.Interval == 0 {
+		c.Interval = DefaultInterval
+	}
+	if c.IdleTimeout == 0 {
+		c.IdleTimeout = DefaultIdleTimeout
+	}
+	if c.Incarnation == 0 {
+		c.Incarnation = uint64(now.UnixNano())
+	}
+	return c
+}
+
+func (c Config) check() error {
+	if _, err := netip.ParseAddrPort(c.Address); err != nil {
+		return err
+	}
+	if c.Service == "" {
+		return errors.New("service is empty")
+	}
+	if c.Slots < 1 {
+		return errors.New("slots must be at least 1")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/target.go
@@ -0,0 +1,111 @@
+// Package standin is a stand-in target: it follows the target protocol and
+// has fault modes, for tests and the demo.
+package standin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Target is a running stand-in target.
+type Target struct {
+	config    Config
+	address   string
+	server    *http.Server
+	counts    *counts
+	worker    *worker
+	announcer *announcer
+	stop      context.CancelFunc
+	ended     sync.WaitGroup
+
+	mu    sync.Mutex
+	fault Fault
+}
+
+// Start listens and begins to announce the target.
+func Start(c Config) (*Target, error) {
+	c = c.withDefaults(time.Now())
+	if err := errors.Join(c.check(), c.Fault.check()); err != nil {
+		return nil, fmt.Errorf("stand-in target %s: %w", c.Address, err)
+	}
+	listener, err := net.Listen("tcp", c.Address)
+	if err != nil {
+		return nil, fmt.Errorf("stand-in target: %w", err)
+	}
+	t := &Target{config: c, address: listener.Addr().String(), counts: newCounts(), fault: c.Fault}
+	t.worker = newWorker(c.Slots, c.MeanWork, c.Seed)
+	t.announcer = newAnnouncer(t)
+	t.server = &http.Server{
+		Handler:           t.handler(),
+		ReadHeaderTimeout: 10 * time.Second,
+		IdleTimeout:       c.IdleTimeout,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.stop = cancel
+	t.ended.Go(func() { _ = t.server.Serve(listener) })
+	t.ended.Go(func() { t.announcer.run(ctx) })
+	return t, nil
+}
+
+// Address returns the IP:port that the target listens on.
+func (t *Target) Address() string { return t.address }
+
+// Stats returns the counts of the target.
+func (t *Target) Stats() Stats { return t.counts.read() }
+
+// SetFault replaces the fault modes in force.
+func (t *Target) SetFault(f Fault) error {
+	if err := f.check(); err != nil {
+		return err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.fault = f
+	return nil
+}
+
+// Fault returns the fault modes in force.
+func (t *Target) Fault() Fault {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.fault
+}
+
+// takeFault returns the fault for one request and counts it against Times.
+func (t *Target) takeFault() Fault {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	f := t.fault
+	if f.Times > 0 && f.atWork() {
+		t.fault.Times--
+		if t.fault.Times == 0 {
+			t.fault = Fault{Load: f.Load, Freeze: f.Freeze}
+		}
+	}
+	return f
+}
+
+// Leave announces that the target is leaving, finishes the requests in flight
+// and ends the target. The context bounds the wait for requests in flight.
+func (t *Target) Leave(ctx context.Context) error {
+	t.stop()
+	t.announcer.leave(ctx)
+	err := t.server.Shutdown(ctx)
+	if err != nil {
+		t.server.Close()
+	}
+	t.ended.Wait()
+	return err
+}
+
+// Kill closes all connections at once and announces nothing, as a crash would.
+func (t *Target) Kill() {
+	t.stop()
+	t.server.Close()
+	t.ended.Wait()
+}
--- /dev/null
+++ b/pkg/retry/doc.go
@@ -0,0 +1,2 @@
+// Package retry decides whether an attempt may be repeated.
+package retry
