--- a/internal/standin/config.go
+++ b/internal/standin/config.go
@@ -20,6 +20,7 @@
 	Rate        int           // bytes a second of downloads, 0 for no limit
 	Interval    time.Duration // time between announcements, DefaultInterval if 0
 	IdleTimeout time.Duration // idle connections are closed after this time, DefaultIdleTimeout if 0
+	LeaveGrace  time.Duration // time for which a leaving target takes work, DefaultLeaveGrace if 0
 	Fault       Fault         // fault at the start
 }
 
@@ -27,6 +28,8 @@
 const (
 	DefaultInterval    = time.Second
 	DefaultIdleTimeout = 2 * time.Minute
+	// DefaultLeaveGrace covers permits that were granted before the zone knew that the target leaves.
+	DefaultLeaveGrace = 2 * time.Second
 	// StallLimit is the time after which a connection that accepts no bytes is closed (target contract).
 	StallLimit = 30 * time.Second
 )
@@ -38,6 +41,9 @@
 	if c.IdleTimeout == 0 {
 		c.IdleTimeout = DefaultIdleTimeout
 	}
+	if c.LeaveGrace == 0 {
+		c.LeaveGrace = DefaultLeaveGrace
+	}
 	if c.Incarnation == 0 {
 		c.Incarnation = uint64(now.UnixNano())
 	}
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -90,11 +90,12 @@
 	return f
 }
 
-// Leave announces that the target is leaving, finishes the requests in flight
-// and ends the target. The context bounds the wait for requests in flight.
+// Leave announces that the target is leaving, takes work for the grace time,
+// finishes the requests in flight and ends the target. The context bounds the wait for requests in flight.
 func (t *Target) Leave(ctx context.Context) error {
 	t.stop()
 	t.announcer.leave(ctx)
+	pause(ctx, t.config.LeaveGrace)
 	err := t.server.Shutdown(ctx)
 	if err != nil {
 		t.server.Close()
