--- /dev/null
+++ b/cmd/hornbeam-demo/main.go
@@ -0,0 +1,38 @@
+// Command hornbeam-demo runs the whole path on loopback addresses, each program
+// as its own process, and prints what a caller and an operator see.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/demo"
+)
+
+// limit bounds the demo, so that a hanging step is reported as a failure.
+const limit = 45 * time.Second
+
+type arguments struct {
+	Bin    string `arg:"--bin" default:"bin" help:"folder of the programs"`
+	Bundle string `arg:"--bundle" default:"examples/demo.toml" help:"bundle to roll out"`
+	Keep   bool   `arg:"--keep" help:"keep the folder with settings, logs and traces"`
+}
+
+func main() {
+	var args arguments
+	arg.MustParse(&args)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	if err := demo.Run(ctx, os.Stdout, args.Bin, args.Bundle, args.Keep); err != nil {
+		fmt.Println("demo: failed:", err)
+		os.Exit(1)
+	}
+	fmt.Println("demo: ok")
+}
--- /dev/null
+++ b/internal/node/control.go
@@ -0,0 +1,182 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"path/filepath"
+	"time"
+
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/claims"
+	"github.com/hornbeamstack/hornbeamstack/internal/controlapi"
+	"github.com/hornbeamstack/hornbeamstack/internal/history"
+	"github.com/hornbeamstack/hornbeamstack/internal/links"
+	"github.com/hornbeamstack/hornbeamstack/internal/peer"
+	"github.com/hornbeamstack/hornbeamstack/internal/replica"
+	"github.com/hornbeamstack/hornbeamstack/internal/rollout"
+	"github.com/hornbeamstack/hornbeamstack/internal/settings"
+	"github.com/hornbeamstack/hornbeamstack/pkg/bundle"
+)
+
+// operatorTimeout bounds one request of an operator, an election included.
+const operatorTimeout = 30 * time.Second
+
+// reportInterval is the pause between reports of a control host to the leader.
+const reportInterval = time.Second
+
+// Control is a running control host.
+type Control struct {
+	*base
+	settings    *settings.Control
+	machine     *history.Machine
+	group       *replica.Group
+	store       *claims.StoreService
+	claimLog    *claimLog
+	distributor *rollout.Distributor
+	http        *khttp.Server
+}
+
+// StartControl opens the data folder and the ports and starts all parts of a
+// control host. Founding declares all claim stores of the deployment new.
+func StartControl(s *settings.Control, founding bool) (*Control, error) {
+	keys, err := settings.PublicKeys(s.OperatorKeys)
+	if err != nil {
+		return nil, err
+	}
+	b, err := newBase(identity{"hornbeam-control", s.Host, s.Peer, s.HTTP, s.LogLevel, s.TraceFile})
+	if err != nil {
+		return nil, err
+	}
+	c := &Control{base: b, settings: s, machine: history.New(keys)}
+	ctx := b.start()
+	if err := c.build(ctx, founding); err != nil {
+		return nil, errors.Join(err, b.end())
+	}
+	b.log.Info("control host started", "zone", s.AvailabilityZone, "peer", s.Peer, "http", s.HTTP, "data", s.DataFolder)
+	return c, nil
+}
+
+func (c *Control) build(ctx context.Context, founding bool) error {
+	c.distributor = rollout.NewDistributor(c.server, c.client, c.settings.Peer, c.leads, c.log)
+	c.machine.Subscribe(c.distributor.Accepted)
+	var err error
+	c.group, err = replica.Start(replica.Config{
+		Host: c.settings.Host, Folder: filepath.Join(c.settings.DataFolder, "agree"), Members: c.members(),
+		Server: c.server, Client: c.client, Machine: c.machine, Log: c.log,
+	})
+	if err != nil {
+		return err
+	}
+	if err := c.buildClaims(founding); err != nil {
+		return err
+	}
+	rollout.ServeFetch(c.server, c.machine, c.version, func() string { return c.group.Status().Leader.Peer })
+	allocator := links.NewAllocatorService(func() []links.Link { return linksOf(c.bundle()) }, c.leadership, time.Now)
+	allocator.Register(c.server)
+	c.buildHTTP()
+	c.run("distributor", func() error { c.distributor.Run(ctx); return nil })
+	c.run("claims", func() error { return c.store.Run(ctx) })
+	c.run("http", func() error { return c.http.Start(context.WithoutCancel(ctx)) })
+	c.run("status report", func() error { return c.report(ctx) })
+	return nil
+}
+
+func (c *Control) buildClaims(founding bool) error {
+	l, recovered, err := openClaimLog(c.settings.DataFolder, c.settings.Host)
+	if err != nil {
+		return err
+	}
+	c.claimLog = l
+	c.store, err = claims.NewStoreService(claims.StoreOptions{
+		Name: c.settings.Host, Log: l, Recovered: recovered, Stores: c.stores, Peers: c.client,
+		Founding: founding, Now: time.Now, Logger: c.log,
+	})
+	if err != nil {
+		return err
+	}
+	c.store.Register(c.server)
+	return nil
+}
+
+func (c *Control) buildHTTP() {
+	c.http = khttp.NewServer(khttp.Listener(c.base.http), khttp.Address(c.settings.HTTP), khttp.Timeout(operatorTimeout))
+	api := &controlapi.API{
+		Host: c.settings.Host, Members: c.settings.Members, Group: group{c.group}, Machine: c.machine,
+		Distributor: c.distributor, Metrics: c.registry, Log: c.log, Client: &http.Client{Timeout: operatorTimeout},
+	}
+	api.Register(c.http)
+}
+
+// report tells the leader each second which version this host holds.
+func (c *Control) report(ctx context.Context) error {
+	t := time.NewTicker(reportInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+		}
+		leader := c.group.Status().Leader
+		v := c.machine.Current()
+		if leader.Peer == "" || v == nil {
+			continue
+		}
+		_ = peer.Notify(c.client, leader.Peer, rollout.MethodStatus, rollout.Status{
+			Host: c.settings.Host, AvailabilityZone: c.settings.AvailabilityZone, Version: v.Header.Version, Root: v.Header.Root,
+		})
+	}
+}
+
+// Stop ends the host after requests in flight.
+func (c *Control) Stop(ctx context.Context) error {
+	err := c.http.Stop(ctx)
+	c.group.Stop()
+	err = errors.Join(err, c.end(), c.claimLog.log.Close())
+	c.log.Info("control host ended", "err", err)
+	return err
+}
+
+func (c *Control) leads() bool {
+	if c.group == nil {
+		return false
+	}
+	return c.group.Status().IsLeader
+}
+
+func (c *Control) leadership() (since, until time.Time, leads bool) {
+	s := c.group.Status()
+	return s.LeaderSince, s.QuorumUntil, s.IsLeader
+}
+
+func (c *Control) bundle() *bundle.Bundle {
+	if v := c.machine.Current(); v != nil {
+		return v.Bundle
+	}
+	return nil
+}
+
+func (c *Control) version() uint64 {
+	if v := c.machine.Current(); v != nil {
+		return v.Header.Version
+	}
+	return 0
+}
+
+func (c *Control) members() []replica.Member {
+	members := make([]replica.Member, len(c.settings.Members))
+	for i, m := range c.settings.Members {
+		members[i] = replica.Member{Name: m.Name, Peer: m.Peer}
+	}
+	return members
+}
+
+func (c *Control) stores() []claims.Store {
+	stores := make([]claims.Store, len(c.settings.Members))
+	for i, m := range c.settings.Members {
+		stores[i] = claims.Store{Name: m.Name, Peer: m.Peer}
+	}
+	return stores
+}
--- /dev/null
+++ b/internal/node/entry.go
@@ -0,0 +1,191 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/claims"
+	"github.com/hornbeamstack/hornbeamstack/internal/entry"
+	"github.com/hornbeamstack/hornbeamstack/internal/links"
+	"github.com/hornbeamstack/hornbeamstack/internal/rollout"
+	"github.com/hornbeamstack/hornbeamstack/internal/settings"
+	"github.com/hornbeamstack/hornbeamstack/internal/zone"
+	"github.com/hornbeamstack/hornbeamstack/pkg/bundle"
+)
+
+const (
+	// lookupGrace covers the way of a look-up answer that was cached at the last moment.
+	lookupGrace = time.Second
+	// loadInterval is how often the number of requests in flight enters the heartbeats.
+	loadInterval = 100 * time.Millisecond
+)
+
+// errNoBundle is why a host without a bundle is not ready.
+var errNoBundle = errors.New("no bundle is in force yet")
+
+// Entry is a running entry host.
+type Entry struct {
+	*base
+	settings  *settings.Entry
+	holder    *rollout.Holder
+	reporter  *rollout.Reporter
+	zone      *zone.Zone
+	claims    *claims.Client
+	limiter   *limiter
+	lookups   *lookups
+	directory *directory
+	surface   *entry.Surface
+	stopRuns  context.CancelFunc // ends all but the HTTP server and the zone
+	hasBundle atomic.Bool
+}
+
+// StartEntry opens the ports and starts all parts of an entry host.
+func StartEntry(s *settings.Entry) (*Entry, error) {
+	keys, err := settings.PublicKeys(s.OperatorKeys)
+	if err != nil {
+		return nil, err
+	}
+	b, err := newBase(identity{"hornbeam-entry", s.Host, s.Peer, s.HTTP, s.LogLevel, s.TraceFile})
+	if err != nil {
+		return nil, err
+	}
+	e := &Entry{base: b, settings: s, holder: rollout.NewHolder(keys), directory: &directory{zone: s.AvailabilityZone}}
+	e.build()
+	ctx := b.start()
+	if err := e.buildSurface(); err != nil {
+		return nil, errors.Join(err, b.end())
+	}
+	e.runAll(ctx)
+	b.log.Info("entry host started", "zone", s.AvailabilityZone, "peer", s.Peer, "http", s.HTTP)
+	return e, nil
+}
+
+// build creates the parts that exchange messages; they register their methods.
+func (e *Entry) build() {
+	incarnation := newIncarnation()
+	e.zone = zone.New(zone.Config{
+		Host: e.settings.Host, Incarnation: incarnation, AvailabilityZone: e.settings.AvailabilityZone,
+		Bundle: e.bundle, Server: e.server, Client: e.client, Log: e.log,
+	})
+	e.claims = claims.NewClient(e.settings.Host, incarnation, e.claimStores, e.client, time.Now)
+	e.lookups = &lookups{zone: e.settings.AvailabilityZone, view: e.zone.View, log: e.log}
+	e.reporter = rollout.NewReporter(e.settings.Host, e.settings.AvailabilityZone, e.holder, e.client, e.headroom)
+	rollout.ServeFetch(e.server, e.holder, e.version, e.leader)
+	e.limiter = newLimiter()
+	e.holder.Subscribe(e.useBundle)
+}
+
+// useBundle puts a new version in force in the parts that keep an index of it.
+func (e *Entry) useBundle(a *rollout.Active) {
+	e.directory.use(a)
+	e.lookups.use(a)
+	if !e.hasBundle.Swap(true) {
+		e.limiter.set(links.NewLimiter(e.settings.Host, e.directory.Region(),
+			func() []links.Link { return linksOf(e.bundle()) }, e.leaderAddress, e.client, time.Now))
+	}
+	e.log.Info("bundle in force", "version", a.Version, "root", a.Root)
+}
+
+func (e *Entry) buildSurface() error {
+	var err error
+	e.surface, err = entry.NewSurface(entry.Config{
+		Listener: e.http, Host: e.settings.Host, Directory: e.directory, Permits: permits{e.zone},
+		Claims: claimSource{e.claims}, Links: e.limiter, Lookups: e.lookups, Targets: targets{e.zone},
+		Ready: e.ready, Registry: e.registry, Tracing: e.tracing, Log: e.log,
+	})
+	return err
+}
+
+func (e *Entry) runAll(ctx context.Context) {
+	runs, stop := context.WithCancel(ctx)
+	e.stopRuns = stop
+	receiver := rollout.NewReceiver(runs, e.server, e.client, e.settings.Peer, e.holder, e.reporter, e.log)
+	puller := &rollout.Puller{
+		Host: e.settings.Host, Zone: e.settings.AvailabilityZone, ControlHosts: e.settings.ControlHosts,
+		ZoneHosts: e.settings.ZoneHosts, Holder: e.holder, Client: e.client, Reporter: e.reporter, Log: e.log,
+	}
+	e.run("bundle pull", func() error {
+		for !puller.Start(runs) && runs.Err() == nil {
+			e.log.Info("waiting for a bundle")
+		}
+		puller.Run(runs)
+		receiver.Wait()
+		return nil
+	})
+	e.run("zone", func() error { return e.zone.Run(runs) })
+	e.run("links", func() error { return e.limiter.run(ctx) })
+	e.run("look-ups", func() error { return e.lookups.run(runs) })
+	e.run("load", func() error { return e.reportLoad(ctx) })
+	e.run("http", func() error { return e.surface.Serve(context.WithoutCancel(ctx)) })
+}
+
+// Stop shuts the host down without cutting off a request: look-ups stop naming
+// it, it serves until cached look-up answers have expired, then it finishes
+// what is in flight. Body transfers have no time limit; ctx may set one.
+func (e *Entry) Stop(ctx context.Context) error {
+	e.log.Info("entry host leaving", "in_flight", e.surface.InFlight())
+	e.surface.SetLeaving()
+	e.zone.Leave()
+	select {
+	case <-time.After(lookupLifetime + lookupGrace):
+	case <-ctx.Done():
+	}
+	e.surface.CloseIdle()
+	err := e.surface.Finish(ctx)
+	err = errors.Join(err, e.claims.Drain(ctx))
+	e.stopRuns()
+	err = errors.Join(err, e.end())
+	e.log.Info("entry host ended", "err", err)
+	return err
+}
+
+func (e *Entry) bundle() *bundle.Bundle {
+	if a := e.holder.Current(); a != nil {
+		return a.Bundle
+	}
+	return nil
+}
+
+func (e *Entry) version() uint64 {
+	if a := e.holder.Current(); a != nil {
+		return a.Version
+	}
+	return 0
+}
+
+func (e *Entry) leader() string { addr, _ := e.leaderAddress(); return addr }
+
+func (e *Entry) leaderAddress() (string, bool) {
+	addr := e.reporter.Leader()
+	return addr, addr != ""
+}
+
+func (e *Entry) claimStores() []claims.Store {
+	stores := make([]claims.Store, len(e.settings.ControlHosts))
+	for i, m := range e.settings.ControlHosts {
+		stores[i] = claims.Store{Name: m.Name, Peer: m.Peer}
+	}
+	return stores
+}
+
+func (e *Entry) ready() error {
+	if !e.hasBundle.Load() {
+		return errNoBundle
+	}
+	return nil
+}
+
+func (e *Entry) reportLoad(ctx context.Context) error {
+	t := time.NewTicker(loadInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+			e.zone.SetLoad(int(e.surface.InFlight()))
+		}
+	}
+}
--- /dev/null
+++ b/internal/proc/process.go
@@ -0,0 +1,91 @@
+// Package proc runs the system's programs as separate processes for the demo
+// and for tests with real processes. The programs themselves start no process.
+package proc
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+)
+
+// Process is a started program whose output goes to a log file.
+type Process struct {
+	Name string
+	Log  string // path of the log file
+
+	cmd  *exec.Cmd
+	done chan struct{}
+	err  error // valid once done is closed
+}
+
+// ErrStillRunning is returned by Stop when the process did not end in time.
+var ErrStillRunning = errors.New("process did not end in time")
+
+// Start runs the program bin; its output is appended to NAME.log in folder.
+func Start(folder, name, bin string, args ...string) (*Process, error) {
+	path := filepath.Join(folder, name+".log")
+	out, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, fmt.Errorf("open log of %s: %w", name, err)
+	}
+	defer func() { _ = out.Close() }()
+	cmd := exec.Command(bin, args...)
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		return nil, fmt.Errorf("start %s: %w", name, err)
+	}
+	p := &Process{Name: name, Log: path, cmd: cmd, done: make(chan struct{})}
+	go func() {
+		p.err = cmd.Wait()
+		close(p.done)
+	}()
+	return p, nil
+}
+
+// Running reports whether the process has not ended.
+func (p *Process) Running() bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// Stop sends SIGTERM and waits for the end. It returns the exit error, or
+// ErrStillRunning after the limit; the process is then killed.
+func (p *Process) Stop(limit time.Duration) error {
+	if err := p.signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	select {
+	case <-p.done:
+		return p.err
+	case <-time.After(limit):
+		p.Kill()
+		return fmt.Errorf("%s: %w", p.Name, ErrStillRunning)
+	}
+}
+
+// Kill ends the process at once and waits until it is gone.
+func (p *Process) Kill() {
+	_ = p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// Freeze stops the process without ending it.
+func (p *Process) Freeze() error { return p.signal(syscall.SIGSTOP) }
+
+// Resume continues a frozen process.
+func (p *Process) Resume() error { return p.signal(syscall.SIGCONT) }
+
+func (p *Process) signal(s syscall.Signal) error {
+	if err := p.cmd.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		return fmt.Errorf("signal %s to %s: %w", s, p.Name, err)
+	}
+	return nil
+}
--- a/internal/rollout/reporter.go
+++ b/internal/rollout/reporter.go
@@ -43,3 +43,11 @@
 	}
 	_ = peer.Notify(r.client, *addr, MethodStatus, status)
 }
+
+// Leader returns the peer address of the leader, empty if unknown.
+func (r *Reporter) Leader() string {
+	if addr := r.leader.Load(); addr != nil {
+		return *addr
+	}
+	return ""
+}
