--- /dev/null
+++ b/internal/zone/acquire.go
@@ -0,0 +1,118 @@
+package zone
+
+import (
+	"context"
+	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/pkg/slots"
+)
+
+// Acquire returns a permit for a target of the service. It asks the own zone
+// first; when nothing is free there at once it queues in all zones of the
+// region and, if allowed, asks other regions, nearest first. A refusal is a
+// *slots.BusyError or the error of ctx.
+func (z *Zone) Acquire(ctx context.Context, r Request) (*Permit, error) {
+	left := r.Deadline.Sub(z.cfg.Now())
+	if left <= 0 {
+		return nil, &slots.BusyError{RetryAfter: noCoordinatorRetry}
+	}
+	waiting, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
+	if p := z.try(waiting, z.cfg.AvailabilityZone, r); p != nil {
+		return p, nil
+	}
+	c := &contest{zone: z, request: r, results: make(chan result)}
+	p, busy := c.run(waiting)
+	switch {
+	case p != nil:
+		return p, nil
+	case ctx.Err() != nil:
+		return nil, ctx.Err()
+	}
+	return nil, busy
+}
+
+// try asks a zone for a slot that is free at once.
+func (z *Zone) try(ctx context.Context, zone string, r Request) *Permit {
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	return z.attempt(ctx, zone, r, 0).permit
+}
+
+// contest lets several zones compete for one request. The first grant wins,
+// any later one is released.
+type contest struct {
+	zone    *Zone
+	request Request
+	results chan result
+}
+
+func (c *contest) run(ctx context.Context) (*Permit, *slots.BusyError) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	l, own := c.zone.layout(), c.zone.cfg.AvailabilityZone
+	region := append([]string{own}, l.regionZones(own)...)
+	for _, name := range region {
+		c.start(func() result { return c.zone.wait(ctx, name, c.request) })
+	}
+	running := len(region)
+	refused := make(chan struct{}) // closed when all zones of the region have refused
+	if c.request.AllowRemote {
+		running++
+		c.start(func() result { return c.remote(ctx, l.remoteZones(own), refused) })
+	}
+	busy := &slots.BusyError{RetryAfter: noCoordinatorRetry}
+	for n := len(region); running > 0; running-- {
+		got := <-c.results
+		if got.permit != nil {
+			c.discard(running - 1)
+			return got.permit, nil
+		}
+		if got.busy != nil && got.busy.RetryAfter < busy.RetryAfter {
+			busy = got.busy
+		}
+		if n--; n == 0 {
+			close(refused)
+		}
+	}
+	return nil, busy
+}
+
+func (c *contest) start(f func() result) {
+	c.zone.calls.Go(func() { c.results <- f() })
+}
+
+// discard releases what the remaining competitors still get.
+func (c *contest) discard(running int) {
+	c.zone.calls.Go(func() {
+		for range running {
+			if got := <-c.results; got.permit != nil {
+				got.permit.Release(slots.OutcomeUnsent)
+			}
+		}
+	})
+}
+
+// remote asks the zones of other regions for free slots, in rounds, until the
+// region has refused as well.
+func (c *contest) remote(ctx context.Context, zones []string, refused <-chan struct{}) result {
+	pause := remoteAfter
+	for last := false; !last; pause = remoteInterval {
+		select {
+		case <-ctx.Done():
+			return result{}
+		case <-refused:
+			last = true
+		case <-time.After(pause):
+		}
+		for _, name := range zones {
+			if free, ok := c.zone.freeAt(c.zone.cfg.Now(), name, c.request.Service); ok && free <= 0 {
+				continue
+			}
+			if p := c.zone.try(ctx, name, c.request); p != nil {
+				return result{permit: p}
+			}
+		}
+	}
+	return result{}
+}
--- /dev/null
+++ b/internal/zone/beat.go
@@ -0,0 +1,132 @@
+package zone
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/pkg/slots"
+)
+
+// coordinatorHint returns the most likely coordinator of the own zone, or "".
+func (z *Zone) coordinatorHint() string {
+	if z.coordinating.Load() != nil {
+		return z.cfg.Host
+	}
+	now := z.cfg.Now()
+	z.leaseMu.Lock()
+	promised, _, _ := strings.Cut(z.voter.Holder(now), "/")
+	z.leaseMu.Unlock()
+	if promised != "" && promised != z.cfg.Host {
+		return promised
+	}
+	known := z.directory.coordinator(now, z.cfg.AvailabilityZone)
+	if known == z.cfg.Host {
+		return ""
+	}
+	return known
+}
+
+// beatStep sends a heartbeat to the zone's coordinator, or to any host of the
+// zone, which names the coordinator.
+func (z *Zone) beatStep(ctx context.Context) {
+	host := z.coordinatorHint()
+	if host == "" {
+		host = z.anyHost(z.cfg.AvailabilityZone)
+	}
+	if host == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, beatInterval)
+	defer cancel()
+	reply, err := ask(ctx, z, host, "zone.beat", z.beat(), z.handleBeat)
+	if err != nil {
+		z.directory.forget(z.cfg.AvailabilityZone, host)
+		return
+	}
+	z.takeBeat(host, reply)
+}
+
+func (z *Zone) beat() beatRequest {
+	z.directory.mu.Lock()
+	defer z.directory.mu.Unlock()
+	return beatRequest{
+		Incarnation: z.cfg.Incarnation, InFlight: int(z.inFlight.Load()), Leaving: z.leaving.Load(),
+		Term: z.directory.fromTerm, Version: z.directory.fromSeen,
+	}
+}
+
+func (z *Zone) takeBeat(host string, r beatReply) {
+	now := z.cfg.Now()
+	if r.Term == 0 {
+		z.directory.forget(z.cfg.AvailabilityZone, host)
+		if r.Coordinator != "" && r.Coordinator != host {
+			z.directory.learn(now, z.cfg.AvailabilityZone, r.Coordinator, 0)
+		}
+		return
+	}
+	z.directory.learn(now, z.cfg.AvailabilityZone, host, r.Term)
+	if host != z.cfg.Host {
+		for _, s := range r.Summaries {
+			z.directory.store(now, s)
+		}
+	}
+	z.directory.mu.Lock()
+	defer z.directory.mu.Unlock()
+	z.directory.fromTerm, z.directory.fromSeen = r.Term, r.Version
+	z.directory.hosts, z.directory.hostsHeard = r.Hosts, now
+}
+
+func (z *Zone) handleBeat(_ context.Context, from string, r beatRequest) (beatReply, error) {
+	c, _ := z.lease()
+	if c == nil {
+		return beatReply{Coordinator: z.coordinatorHint()}, nil
+	}
+	now := z.cfg.Now()
+	c.mu.Lock()
+	c.hosts[from] = hostBeat{inFlight: r.InFlight, leaving: r.Leaving, heard: now}
+	c.meet(now, slots.Holder{Host: from, Incarnation: r.Incarnation})
+	c.mu.Unlock()
+	since := r.Version
+	if r.Term != c.term {
+		since = 0
+	}
+	reply := beatReply{Coordinator: z.cfg.Host, Term: c.term, Hosts: z.hostStates(c, now)}
+	reply.Summaries, reply.Version = z.directory.newer(now, since, z.cfg.AvailabilityZone)
+	return reply, nil
+}
+
+// hostStates returns the state of the own zone's entry hosts.
+func (z *Zone) hostStates(c *coordinator, now time.Time) []hostState {
+	l := z.layout()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	states := make([]hostState, 0, len(l.hosts[z.cfg.AvailabilityZone]))
+	for _, name := range l.hosts[z.cfg.AvailabilityZone] {
+		beat, ok := c.hosts[name]
+		if !ok {
+			beat.heard = c.since
+		}
+		state := hostState{
+			Name: name, Leaving: beat.leaving || l.drained[name],
+			Silent: now.Sub(beat.heard) >= silentAfter,
+		}
+		if !state.Leaving && !state.Silent {
+			state.Spare = max(nominalInFlight-beat.inFlight, 1)
+		}
+		states = append(states, state)
+	}
+	return states
+}
+
+// anyHost returns a random entry host of a zone other than this one, or "".
+func (z *Zone) anyHost(zone string) string {
+	hosts := z.layout().hosts[zone]
+	for _, i := range rand.Perm(len(hosts)) {
+		if hosts[i] != z.cfg.Host {
+			return hosts[i]
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/zone/directory.go
@@ -0,0 +1,110 @@
+package zone
+
+import (
+	"sync"
+	"time"
+)
+
+// directory is what the host knows about the coordinators, hosts and figures
+// of all zones.
+type directory struct {
+	mu           sync.Mutex
+	coordinators map[string]reference // by zone
+	summaries    map[string]entry     // by zone
+	version      uint64               // counts summaries taken in
+
+	hosts      []hostState // of the own zone
+	hostsHeard time.Time
+	fromTerm   uint64 // coordinator that fromSeen counts for
+	fromSeen   uint64 // newest summary version received from it
+}
+
+// reference names the coordinator of a zone.
+type reference struct {
+	host   string
+	term   uint64 // zero if only a hint
+	learnt time.Time
+}
+
+// entry is a zone's summary and the moment it was valid.
+type entry struct {
+	summary
+	heard   time.Time
+	version uint64
+}
+
+func newDirectory() *directory {
+	return &directory{coordinators: map[string]reference{}, summaries: map[string]entry{}}
+}
+
+// learn notes a coordinator. A hint replaces a known coordinator only if that
+// one has not been heard of for a while.
+func (d *directory) learn(now time.Time, zone, host string, term uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	old, ok := d.coordinators[zone]
+	if ok && term < old.term && now.Sub(old.learnt) < staleSummary {
+		return
+	}
+	if ok && term == old.term && host != old.host && now.Sub(old.learnt) < watchInterval {
+		return
+	}
+	d.coordinators[zone] = reference{host: host, term: term, learnt: now}
+}
+
+// forget drops a coordinator that has denied its role or does not answer.
+func (d *directory) forget(zone, host string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.coordinators[zone].host == host {
+		delete(d.coordinators, zone)
+	}
+}
+
+// coordinator returns the last known coordinator of a zone, or "".
+func (d *directory) coordinator(now time.Time, zone string) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	ref, ok := d.coordinators[zone]
+	if !ok || now.Sub(ref.learnt) >= staleSummary {
+		return ""
+	}
+	return ref.host
+}
+
+// store takes a summary in unless a newer one is known.
+func (d *directory) store(now time.Time, s summary) {
+	heard := now.Add(-milliseconds(s.AgeMs))
+	d.learn(heard, s.Zone, s.Coordinator, s.Term)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if old, ok := d.summaries[s.Zone]; ok && !heard.After(old.heard) {
+		return
+	}
+	d.version++
+	d.summaries[s.Zone] = entry{summary: s, heard: heard, version: d.version}
+}
+
+// newer returns the summaries after a version, with their present age.
+func (d *directory) newer(now time.Time, version uint64, except string) ([]summary, uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []summary
+	for zone, e := range d.summaries {
+		if zone == except || e.version <= version {
+			continue
+		}
+		s := e.summary
+		s.AgeMs = now.Sub(e.heard).Milliseconds()
+		out = append(out, s)
+	}
+	return out, d.version
+}
+
+// entry returns the summary of a zone.
+func (d *directory) entry(zone string) (entry, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e, ok := d.summaries[zone]
+	return e, ok
+}
--- /dev/null
+++ b/internal/zone/layout.go
@@ -0,0 +1,128 @@
+package zone
+
+import (
+	"math"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/pkg/bundle"
+	"github.com/hornbeamstack/hornbeamstack/pkg/slots"
+)
+
+// layout is the part of a bundle that zone coordination reads, indexed once
+// for each version.
+type layout struct {
+	bundle   *bundle.Bundle
+	zones    []string            // all zones, sorted
+	hosts    map[string][]string // entry hosts of a zone, sorted
+	peer     map[string]string   // peer address of a host
+	zoneOf   map[string]string   // zone of a host
+	regionOf map[string]string   // region of a zone
+	prefixes map[string][]netip.Prefix
+	drained  map[string]bool // hosts
+}
+
+func newLayout(b *bundle.Bundle) *layout {
+	l := &layout{
+		bundle: b, hosts: map[string][]string{}, peer: map[string]string{}, zoneOf: map[string]string{},
+		regionOf: map[string]string{}, prefixes: map[string][]netip.Prefix{}, drained: map[string]bool{},
+	}
+	if b == nil {
+		l.bundle = &bundle.Bundle{}
+		return l
+	}
+	for _, z := range b.Zones {
+		l.zones = append(l.zones, z.Name)
+		l.regionOf[z.Name] = z.Region
+		for _, text := range z.TargetPrefixes {
+			if p, err := netip.ParsePrefix(text); err == nil {
+				l.prefixes[z.Name] = append(l.prefixes[z.Name], p)
+			}
+		}
+	}
+	slices.Sort(l.zones)
+	l.addHosts(b)
+	return l
+}
+
+func (l *layout) addHosts(b *bundle.Bundle) {
+	for _, h := range b.Hosts {
+		if h.Role != bundle.RoleEntry {
+			continue
+		}
+		l.hosts[h.AvailabilityZone] = append(l.hosts[h.AvailabilityZone], h.Name)
+		l.peer[h.Name], l.zoneOf[h.Name] = h.Peer, h.AvailabilityZone
+	}
+	for _, names := range l.hosts {
+		slices.Sort(names)
+	}
+	for _, d := range b.Drains {
+		if d.Kind == bundle.DrainHost {
+			l.drained[d.Name] = true
+		}
+	}
+}
+
+// entryHosts returns the entry hosts of all zones.
+func (l *layout) entryHosts() []string {
+	var all []string
+	for _, zone := range l.zones {
+		all = append(all, l.hosts[zone]...)
+	}
+	return all
+}
+
+// regionZones returns the other zones of a zone's region.
+func (l *layout) regionZones(zone string) []string {
+	return slices.DeleteFunc(slices.Clone(l.zones), func(z string) bool {
+		return z == zone || l.regionOf[z] != l.regionOf[zone]
+	})
+}
+
+// remoteZones returns the zones of other regions, nearest first.
+func (l *layout) remoteZones(zone string) []string {
+	region := l.regionOf[zone]
+	remote := slices.DeleteFunc(slices.Clone(l.zones), func(z string) bool { return l.regionOf[z] == region })
+	slices.SortStableFunc(remote, func(a, b string) int {
+		x, y := l.latency(region, l.regionOf[a]), l.latency(region, l.regionOf[b])
+		switch {
+		case x < y:
+			return -1
+		case x > y:
+			return 1
+		}
+		return 0
+	})
+	return remote
+}
+
+func (l *layout) latency(a, b string) float64 {
+	for _, link := range l.bundle.Links {
+		if link.Regions == [2]string{a, b} || link.Regions == [2]string{b, a} {
+			return link.LatencyMs
+		}
+	}
+	return math.Inf(1)
+}
+
+// policy returns the limits and drains that bind the pool of a zone.
+func (l *layout) policy(zone string) slots.Policy {
+	p := slots.Policy{Services: map[string]slots.Limits{}, DrainedTargets: map[string]bool{}}
+	for _, s := range l.bundle.Services {
+		p.Services[s.Name] = slots.Limits{
+			Slots:   s.Slots,
+			WarmUp:  time.Duration(s.WarmUpMs) * time.Millisecond,
+			Timeout: time.Duration(s.RequestTimeoutMs) * time.Millisecond,
+		}
+	}
+	for _, d := range l.bundle.Drains {
+		switch {
+		case d.Kind == bundle.DrainTarget:
+			p.DrainedTargets[d.Name] = true
+		case d.Kind == bundle.DrainZone && d.Name == zone, d.Kind == bundle.DrainRegion && d.Name == l.regionOf[zone]:
+			p.Drained = true
+		}
+	}
+	return p
+}
--- /dev/null
+++ b/internal/zone/lease.go
@@ -0,0 +1,117 @@
+package zone
+
+import (
+	"context"
+	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/pkg/zonelease"
+)
+
+// releaseWait bounds how long a planned stop waits for voters to note the release.
+const releaseWait = 300 * time.Millisecond
+
+func (z *Zone) handleVote(_ context.Context, _ string, r voteRequest) (voteReply, error) {
+	z.leaseMu.Lock()
+	defer z.leaseMu.Unlock()
+	now := z.cfg.Now()
+	reply := z.voter.Handle(now, zonelease.Request(r))
+	if r.Release && r.Candidate != z.candidate.Self() {
+		z.candidate.Wake(now)
+	}
+	return voteReply{
+		Granted: reply.Granted, Term: reply.Term, Holder: reply.Holder,
+		RemainingMs: reply.Remaining.Milliseconds(),
+	}, nil
+}
+
+// leaseStep runs the election and starts or ends the coordination.
+func (z *Zone) leaseStep(ctx context.Context) {
+	z.leaseMu.Lock()
+	now := z.cfg.Now()
+	z.candidate.SetVoters(z.layout().hosts[z.cfg.AvailabilityZone])
+	requests := z.candidate.Tick(now, z.voter.PromisedToOther(now, z.candidate.Self()))
+	z.switchCoordinator(now)
+	z.leaseMu.Unlock()
+	for _, r := range requests {
+		z.broadcast(ctx, r, z.calls)
+	}
+}
+
+// switchCoordinator follows the lease. The caller holds leaseMu.
+func (z *Zone) switchCoordinator(now time.Time) {
+	current := z.coordinating.Load()
+	holds := z.candidate.Holds(now)
+	if current != nil && (!holds || current.term != z.candidate.Term()) {
+		z.coordinating.Store(nil)
+		current.end()
+		z.cfg.Log.Info("coordination ended", "zone", z.cfg.AvailabilityZone, "term", current.term)
+		current = nil
+	}
+	if current == nil && holds {
+		l := z.layout()
+		c := newCoordinator(now, z.candidate.Term(), l.policy(z.cfg.AvailabilityZone), l.entryHosts())
+		z.coordinating.Store(c)
+		z.cfg.Log.Info("coordination started", "zone", z.cfg.AvailabilityZone, "term", c.term)
+	}
+}
+
+// broadcast sends a request to every voter of the zone and counts the replies.
+func (z *Zone) broadcast(ctx context.Context, r zonelease.Request, wg *tasks) {
+	for _, host := range z.layout().hosts[z.cfg.AvailabilityZone] {
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, callTimeout)
+			defer cancel()
+			reply, err := ask(ctx, z, host, "zone.vote", voteRequest(r), z.handleVote)
+			if err != nil || r.Release {
+				return
+			}
+			z.countVote(host, r, reply)
+		})
+	}
+}
+
+func (z *Zone) countVote(host string, r zonelease.Request, reply voteReply) {
+	z.leaseMu.Lock()
+	defer z.leaseMu.Unlock()
+	now := z.cfg.Now()
+	z.candidate.Handle(now, host, r.Round, zonelease.Reply{
+		Granted: reply.Granted, Term: reply.Term, Holder: reply.Holder,
+		Remaining: time.Duration(reply.RemainingMs) * time.Millisecond,
+	})
+	z.switchCoordinator(now)
+}
+
+// lease returns the coordinator and the end of its lease, or nil if this host
+// does not hold the lease now.
+func (z *Zone) lease() (*coordinator, time.Time) {
+	z.leaseMu.Lock()
+	defer z.leaseMu.Unlock()
+	c := z.coordinating.Load()
+	if c == nil || !z.candidate.Holds(z.cfg.Now()) || c.term != z.candidate.Term() {
+		return nil, time.Time{}
+	}
+	return c, z.candidate.Until()
+}
+
+// giveUp releases the lease for good and waits a moment for the voters.
+func (z *Zone) giveUp() {
+	z.leaseMu.Lock()
+	request := z.candidate.Release()
+	z.switchCoordinator(z.cfg.Now())
+	z.leaseMu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), releaseWait)
+	defer cancel()
+	sent := newTasks()
+	z.broadcast(ctx, request, sent)
+	sent.Wait()
+}
+
+// stepDown gives the lease up after a host has answered a newer term.
+func (z *Zone) stepDown(ctx context.Context, newer uint64) {
+	z.leaseMu.Lock()
+	z.candidate.Observe(newer)
+	request := z.candidate.StepDown(z.cfg.Now())
+	z.switchCoordinator(z.cfg.Now())
+	z.leaseMu.Unlock()
+	z.broadcast(ctx, request, z.calls)
+}
--- /dev/null
+++ b/internal/zone/message.go
@@ -0,0 +1,161 @@
+package zone
+
+import "github.com/hornbeamstack/hornbeamstack/pkg/traffic"
+
+// Durations in messages are relative, so that clocks of hosts need not agree.
+
+type voteRequest struct {
+	Candidate string `cbor:"1,keyasint"`
+	Term      uint64 `cbor:"2,keyasint"`
+	Round     uint64 `cbor:"3,keyasint,omitempty"`
+	Release   bool   `cbor:"4,keyasint,omitempty"`
+}
+
+type voteReply struct {
+	Granted     bool   `cbor:"1,keyasint,omitempty"`
+	Term        uint64 `cbor:"2,keyasint,omitempty"`
+	Holder      string `cbor:"3,keyasint,omitempty"`
+	RemainingMs int64  `cbor:"4,keyasint,omitempty"`
+}
+
+type beatRequest struct {
+	Incarnation string `cbor:"1,keyasint"`
+	InFlight    int    `cbor:"2,keyasint,omitempty"`
+	Leaving     bool   `cbor:"3,keyasint,omitempty"`
+	Term        uint64 `cbor:"4,keyasint,omitempty"` // term of the coordinator that Version belongs to
+	Version     uint64 `cbor:"5,keyasint,omitempty"` // newest summary the host has
+}
+
+type beatReply struct {
+	Coordinator string      `cbor:"1,keyasint,omitempty"` // as far as the replier knows
+	Term        uint64      `cbor:"2,keyasint,omitempty"` // zero: the replier is not the coordinator
+	Version     uint64      `cbor:"3,keyasint,omitempty"`
+	Hosts       []hostState `cbor:"4,keyasint,omitempty"`
+	Summaries   []summary   `cbor:"5,keyasint,omitempty"`
+}
+
+type hostState struct {
+	Name    string `cbor:"1,keyasint"`
+	Spare   int    `cbor:"2,keyasint,omitempty"`
+	Leaving bool   `cbor:"3,keyasint,omitempty"`
+	Silent  bool   `cbor:"4,keyasint,omitempty"`
+}
+
+// summary stands for a whole zone. It names only the hosts that look-ups must
+// leave out, so its size does not grow with the zone's hosts.
+type summary struct {
+	Zone        string          `cbor:"1,keyasint"`
+	Coordinator string          `cbor:"2,keyasint"`
+	Term        uint64          `cbor:"3,keyasint"`
+	AgeMs       int64           `cbor:"4,keyasint,omitempty"`
+	Spare       int             `cbor:"5,keyasint,omitempty"` // mean of the usable hosts
+	Leaving     []string        `cbor:"6,keyasint,omitempty"`
+	Silent      []string        `cbor:"7,keyasint,omitempty"`
+	Services    []serviceFigure `cbor:"8,keyasint,omitempty"`
+}
+
+type serviceFigure struct {
+	Name        string `cbor:"1,keyasint"`
+	Targets     int    `cbor:"2,keyasint,omitempty"`
+	Slots       int    `cbor:"3,keyasint,omitempty"`
+	Free        int    `cbor:"4,keyasint,omitempty"`
+	Outstanding int    `cbor:"5,keyasint,omitempty"`
+	Queued      int    `cbor:"6,keyasint,omitempty"`
+	Suspect     int    `cbor:"7,keyasint,omitempty"`
+}
+
+// summaryRequest carries the sender's summary, or nothing if it only asks.
+type summaryRequest struct {
+	Summary *summary `cbor:"1,keyasint,omitempty"`
+}
+
+type summaryReply struct {
+	Coordinator string   `cbor:"1,keyasint,omitempty"`
+	Summary     *summary `cbor:"2,keyasint,omitempty"`
+}
+
+type acquireRequest struct {
+	Incarnation string        `cbor:"1,keyasint"`
+	Number      uint64        `cbor:"2,keyasint"`
+	Service     string        `cbor:"3,keyasint"`
+	Class       traffic.Class `cbor:"4,keyasint,omitempty"`
+	RemainingMs int64         `cbor:"5,keyasint"`
+	MaxWaitMs   int64         `cbor:"6,keyasint,omitempty"`
+	Exclude     []string      `cbor:"7,keyasint,omitempty"`
+}
+
+type status uint8
+
+const (
+	statusGranted status = iota + 1
+	statusBusy
+	statusNotCoordinator
+)
+
+type acquireReply struct {
+	Status       status `cbor:"1,keyasint"`
+	Target       string `cbor:"2,keyasint,omitempty"`
+	Term         uint64 `cbor:"3,keyasint,omitempty"`
+	ValidMs      int64  `cbor:"4,keyasint,omitempty"` // from the moment the holder sent its request
+	RetryAfterMs int64  `cbor:"5,keyasint,omitempty"`
+	Coordinator  string `cbor:"6,keyasint,omitempty"`
+}
+
+type releaseRequest struct {
+	Incarnation string `cbor:"1,keyasint"`
+	Number      uint64 `cbor:"2,keyasint"`
+	Outcome     uint8  `cbor:"3,keyasint,omitempty"`
+}
+
+type releaseReply struct {
+	NotCoordinator bool `cbor:"1,keyasint,omitempty"`
+}
+
+type renewRequest struct {
+	Incarnation string   `cbor:"1,keyasint"`
+	Numbers     []uint64 `cbor:"2,keyasint"`
+}
+
+type renewReply struct {
+	NotCoordinator bool     `cbor:"1,keyasint,omitempty"`
+	Unknown        []uint64 `cbor:"2,keyasint,omitempty"`
+	Deferred       bool     `cbor:"3,keyasint,omitempty"` // nothing is confirmed before the holder has answered slots.held
+}
+
+type heldRequest struct {
+	Zone        string `cbor:"1,keyasint"`
+	Term        uint64 `cbor:"2,keyasint"`
+	Coordinator string `cbor:"3,keyasint"`
+}
+
+type heldReply struct {
+	Incarnation string       `cbor:"1,keyasint"`
+	UptimeMs    int64        `cbor:"2,keyasint"`
+	Newer       uint64       `cbor:"3,keyasint,omitempty"` // a newer term was answered: the asker is not coordinator any more
+	Permits     []heldPermit `cbor:"4,keyasint,omitempty"`
+}
+
+type heldPermit struct {
+	Number      uint64 `cbor:"1,keyasint"`
+	Service     string `cbor:"2,keyasint"`
+	Target      string `cbor:"3,keyasint"`
+	RemainingMs int64  `cbor:"4,keyasint,omitempty"`
+	Streaming   bool   `cbor:"5,keyasint,omitempty"`
+}
+
+type announceRequest struct {
+	Service     string  `cbor:"1,keyasint"`
+	Address     string  `cbor:"2,keyasint"`
+	Incarnation uint64  `cbor:"3,keyasint"`
+	Sequence    uint64  `cbor:"4,keyasint"`
+	Slots       int     `cbor:"5,keyasint,omitempty"`
+	Connections int     `cbor:"6,keyasint,omitempty"`
+	Leaving     bool    `cbor:"7,keyasint,omitempty"`
+	Load        float64 `cbor:"8,keyasint,omitempty"`
+}
+
+type announceReply struct {
+	NotCoordinator bool   `cbor:"1,keyasint,omitempty"`
+	Code           string `cbor:"2,keyasint,omitempty"`
+	Message        string `cbor:"3,keyasint,omitempty"`
+}
--- /dev/null
+++ b/internal/zone/permit.go
@@ -0,0 +1,110 @@
+package zone
+
+import (
+	"sync"
+	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/pkg/slots"
+)
+
+// Permit is the right to have one request outstanding at a target. Release it
+// exactly once when the request has ended.
+type Permit struct {
+	ID               string
+	Target           string // IP:port
+	AvailabilityZone string
+	Region           string
+
+	zone       *Zone
+	number     uint64
+	term       uint64
+	service    string
+	validUntil time.Time
+	deadline   time.Time
+	lost       chan struct{}
+	loseOnce   sync.Once
+
+	// The fields below are guarded by the holder's mutex.
+	streaming bool
+	confirmed time.Time // send time of the last answered renewal
+	ended     bool
+	keepUntil time.Time // the target may work until then, although the permit has ended
+}
+
+// Usable reports whether the first byte may be sent at now. Check it just
+// before sending: a grant that was delayed beyond the coordinator's lease is void.
+func (p *Permit) Usable(now time.Time) bool {
+	return now.Before(p.validUntil) && now.Before(p.deadline)
+}
+
+// Started notes that the response has started. The permit is renewed until its release.
+func (p *Permit) Started() {
+	h := p.zone.holder
+	h.mu.Lock()
+	first := !p.streaming && !p.ended
+	p.streaming = true
+	h.mu.Unlock()
+	if first {
+		p.zone.background(p.zone.renewZone, p.AvailabilityZone)
+	}
+}
+
+// Lost is closed when the coordinator may give the slot of a streaming permit
+// to another request, because no renewal has been answered for too long. The
+// connection to the target must then be closed.
+func (p *Permit) Lost() <-chan struct{} { return p.lost }
+
+// Release ends the permit. Only the first call counts.
+func (p *Permit) Release(o slots.Outcome) {
+	now, h := p.zone.cfg.Now(), p.zone.holder
+	h.mu.Lock()
+	if p.ended {
+		h.mu.Unlock()
+		return
+	}
+	p.ended = true
+	p.keepUntil = p.workEnd(now, o)
+	if !p.keepUntil.After(now) {
+		delete(h.permits, p.number)
+	}
+	h.mu.Unlock()
+	p.zone.sendRelease(p.AvailabilityZone, p.number, o)
+}
+
+// workEnd returns until when the target may go on working after the release.
+func (p *Permit) workEnd(now time.Time, o slots.Outcome) time.Time {
+	switch o {
+	case slots.OutcomeFailed, slots.OutcomeAbandoned:
+		return now.Add(slots.AbandonGrace)
+	case slots.OutcomeUnconfirmed:
+		if p.streaming {
+			return now.Add(slots.StreamSilence)
+		}
+		return p.deadline
+	}
+	return now
+}
+
+// report describes the permit to a new coordinator. The caller holds the
+// holder's mutex.
+func (p *Permit) report(now time.Time) heldPermit {
+	until := p.deadline
+	if p.ended {
+		until = p.keepUntil
+	}
+	return heldPermit{
+		Number: p.number, Service: p.service, Target: p.Target,
+		RemainingMs: max(until.Sub(now).Milliseconds(), 0), Streaming: p.streaming && !p.ended,
+	}
+}
+
+// lostAt returns when the coordinator may stop to count the permit. The caller
+// holds the holder's mutex.
+func (p *Permit) lostAt() time.Time {
+	if p.confirmed.IsZero() {
+		return p.deadline.Add(slots.DeadlineMargin / 2)
+	}
+	return p.confirmed.Add(lostAfter)
+}
+
+func (p *Permit) lose() { p.loseOnce.Do(func() { close(p.lost) }) }
--- /dev/null
+++ b/internal/zone/renew.go
@@ -0,0 +1,122 @@
+package zone
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/peer"
+	"github.com/hornbeamstack/hornbeamstack/pkg/slots"
+)
+
+// renewTick is a little below slots.RenewInterval, so that a renewal that
+// waits for a tick is still in time.
+const renewTick = slots.RenewInterval * 9 / 10
+
+// renewStep renews streaming permits, ends those that may be lost and drops
+// ended ones whose grace period is over.
+func (z *Zone) renewStep(ctx context.Context) {
+	now := z.cfg.Now()
+	var zones []string
+	z.holder.mu.Lock()
+	for number, p := range z.holder.permits {
+		switch {
+		case p.ended && !now.Before(p.keepUntil):
+			delete(z.holder.permits, number)
+		case p.streaming && !p.ended:
+			if !now.Before(p.lostAt()) {
+				p.lose()
+			}
+			if !slices.Contains(zones, p.AvailabilityZone) {
+				zones = append(zones, p.AvailabilityZone)
+			}
+		}
+	}
+	z.holder.mu.Unlock()
+	for _, zone := range zones {
+		z.calls.Go(func() { z.renewZone(ctx, zone) })
+	}
+}
+
+// renewZone renews the streaming permits of one zone.
+func (z *Zone) renewZone(ctx context.Context, zone string) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	host := z.coordinatorOf(ctx, zone)
+	sent, numbers := z.cfg.Now(), z.streaming(zone)
+	if host == "" || len(numbers) == 0 {
+		return
+	}
+	request := renewRequest{Incarnation: z.cfg.Incarnation, Numbers: numbers}
+	reply, err := ask(ctx, z, host, "slots.renew", request, z.handleRenew)
+	if err != nil || reply.NotCoordinator {
+		z.directory.forget(zone, host)
+		return
+	}
+	z.confirm(sent, numbers, reply)
+}
+
+func (z *Zone) streaming(zone string) []uint64 {
+	z.holder.mu.Lock()
+	defer z.holder.mu.Unlock()
+	var numbers []uint64
+	for number, p := range z.holder.permits {
+		if p.AvailabilityZone == zone && p.streaming && !p.ended {
+			numbers = append(numbers, number)
+		}
+	}
+	return numbers
+}
+
+func (z *Zone) confirm(sent time.Time, numbers []uint64, r renewReply) {
+	z.holder.mu.Lock()
+	defer z.holder.mu.Unlock()
+	for _, number := range numbers {
+		p, ok := z.holder.permits[number]
+		switch {
+		case !ok || p.ended:
+		case slices.Contains(r.Unknown, number):
+			p.lose()
+		case !r.Deferred && sent.After(p.confirmed):
+			p.confirmed = sent
+		}
+	}
+}
+
+// sendRelease tells the zone's coordinator about the end of a permit, in the background.
+func (z *Zone) sendRelease(zone string, number uint64, o slots.Outcome) {
+	request := releaseRequest{Incarnation: z.cfg.Incarnation, Number: number, Outcome: uint8(o)}
+	z.calls.Go(func() {
+		for attempt := range releaseAttempts {
+			if z.releaseOnce(zone, request) {
+				return
+			}
+			time.Sleep(watchInterval << attempt)
+		}
+	})
+}
+
+func (z *Zone) releaseOnce(zone string, r releaseRequest) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	host := z.coordinatorOf(ctx, zone)
+	if host == "" {
+		return false
+	}
+	reply, err := ask(ctx, z, host, "slots.release", r, z.handleRelease)
+	if err != nil || reply.NotCoordinator {
+		z.directory.forget(zone, host)
+		return false
+	}
+	return true
+}
+
+func (z *Zone) background(f func(context.Context, string), zone string) {
+	z.calls.Go(func() { f(context.Background(), zone) })
+}
+
+func isRefused(err error) bool {
+	var unknown *UnknownHostError
+	return err != nil && !errors.As(err, &unknown) && peer.IsRefused(err)
+}
--- /dev/null
+++ b/internal/zone/serve.go
@@ -0,0 +1,109 @@
+package zone
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/pkg/slots"
+)
+
+// poolStep lets time act on the pool.
+func (z *Zone) poolStep(context.Context) {
+	c, _ := z.lease()
+	if c == nil {
+		return
+	}
+	policy := z.layout().policy(z.cfg.AvailabilityZone)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := z.cfg.Now()
+	c.pool.SetPolicy(now, policy)
+	c.pool.Tick(now)
+	c.deliver()
+}
+
+func (z *Zone) handleAcquire(ctx context.Context, from string, r acquireRequest) (acquireReply, error) {
+	arrived := z.cfg.Now()
+	c, _ := z.lease()
+	if c == nil {
+		return z.notCoordinator(), nil
+	}
+	id := slots.ID{Holder: slots.Holder{Host: from, Incarnation: r.Incarnation}, Number: r.Number}
+	request := slots.Request{
+		ID: id, Service: r.Service, Class: r.Class, Exclude: r.Exclude,
+		Deadline: arrived.Add(milliseconds(r.RemainingMs)), MaxWait: milliseconds(r.MaxWaitMs),
+	}
+	decided := make(chan slots.Decision, 1)
+	c.mu.Lock()
+	c.meet(arrived, id.Holder)
+	grant, queued, err := c.pool.Acquire(arrived, request)
+	if queued {
+		c.waiters[id] = decided
+	}
+	c.mu.Unlock()
+	if queued {
+		select {
+		case d := <-decided:
+			grant, err = d.Grant, d.Err
+		case <-ctx.Done():
+			z.end(c, id, slots.OutcomeUnsent)
+			return acquireReply{}, ctx.Err()
+		case <-c.ended:
+			return z.notCoordinator(), nil
+		}
+	}
+	return z.answer(c, arrived, grant, err), nil
+}
+
+// answer limits a grant to the lease, counted from the request's arrival,
+// which is after the holder sent it.
+func (z *Zone) answer(c *coordinator, arrived time.Time, grant slots.Grant, err error) acquireReply {
+	var busy *slots.BusyError
+	if errors.As(err, &busy) {
+		return acquireReply{Status: statusBusy, RetryAfterMs: busy.RetryAfter.Milliseconds()}
+	}
+	current, until := z.lease()
+	if current != c {
+		return z.notCoordinator()
+	}
+	return acquireReply{
+		Status: statusGranted, Target: grant.Target, Term: c.term,
+		ValidMs: until.Sub(arrived).Milliseconds(),
+	}
+}
+
+func (z *Zone) handleRelease(_ context.Context, from string, r releaseRequest) (releaseReply, error) {
+	c, _ := z.lease()
+	if c == nil {
+		return releaseReply{NotCoordinator: true}, nil
+	}
+	z.end(c, slots.ID{Holder: slots.Holder{Host: from, Incarnation: r.Incarnation}, Number: r.Number}, slots.Outcome(r.Outcome))
+	return releaseReply{}, nil
+}
+
+func (z *Zone) end(c *coordinator, id slots.ID, o slots.Outcome) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pool.Release(z.cfg.Now(), id, o)
+	c.deliver()
+}
+
+func (z *Zone) handleRenew(_ context.Context, from string, r renewRequest) (renewReply, error) {
+	c, _ := z.lease()
+	if c == nil {
+		return renewReply{NotCoordinator: true}, nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now, h := z.cfg.Now(), slots.Holder{Host: from, Incarnation: r.Incarnation}
+	c.meet(now, h)
+	unknown, deferred := c.pool.Renew(now, h, r.Numbers)
+	return renewReply{Unknown: unknown, Deferred: deferred}, nil
+}
+
+func (z *Zone) notCoordinator() acquireReply {
+	return acquireReply{Status: statusNotCoordinator, Coordinator: z.coordinatorHint()}
+}
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- /dev/null
+++ b/internal/zone/summary.go
@@ -0,0 +1,130 @@
+package zone
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+)
+
+// summaryStep exchanges summaries with the coordinators of the other zones.
+func (z *Zone) summaryStep(ctx context.Context) {
+	c, _ := z.lease()
+	if c == nil {
+		return
+	}
+	own := z.summarize(c, z.cfg.Now())
+	z.directory.store(z.cfg.Now(), own)
+	ctx, cancel := context.WithTimeout(ctx, summaryInterval)
+	defer cancel()
+	var exchanges sync.WaitGroup
+	for _, zone := range z.layout().zones {
+		if zone != z.cfg.AvailabilityZone {
+			exchanges.Go(func() { z.exchange(ctx, zone, own) })
+		}
+	}
+	exchanges.Wait()
+}
+
+// exchange sends the own summary to a zone's coordinator. A host that does not
+// coordinate names the one that does, which is then asked once.
+func (z *Zone) exchange(ctx context.Context, zone string, own summary) {
+	host := z.directory.coordinator(z.cfg.Now(), zone)
+	if host == "" {
+		host = z.anyHost(zone)
+	}
+	for range 2 {
+		if host == "" {
+			return
+		}
+		reply, err := ask(ctx, z, host, "zone.summary", summaryRequest{Summary: &own}, z.handleSummary)
+		switch {
+		case err != nil:
+			z.directory.forget(zone, host)
+			return
+		case reply.Summary != nil:
+			z.directory.store(z.cfg.Now(), *reply.Summary)
+			return
+		}
+		z.directory.forget(zone, host)
+		host = reply.Coordinator
+	}
+}
+
+func (z *Zone) handleSummary(_ context.Context, _ string, r summaryRequest) (summaryReply, error) {
+	now := z.cfg.Now()
+	if r.Summary != nil && r.Summary.Zone != z.cfg.AvailabilityZone {
+		z.directory.store(now, *r.Summary)
+	}
+	c, _ := z.lease()
+	if c == nil {
+		return summaryReply{Coordinator: z.coordinatorHint()}, nil
+	}
+	own := z.summarize(c, now)
+	return summaryReply{Coordinator: z.cfg.Host, Summary: &own}, nil
+}
+
+func (z *Zone) summarize(c *coordinator, now time.Time) summary {
+	s := summary{Zone: z.cfg.AvailabilityZone, Coordinator: z.cfg.Host, Term: c.term}
+	usable := 0
+	for _, h := range z.hostStates(c, now) {
+		switch {
+		case h.Leaving:
+			s.Leaving = append(s.Leaving, h.Name)
+		case h.Silent:
+			s.Silent = append(s.Silent, h.Name)
+		default:
+			usable++
+			s.Spare += h.Spare
+		}
+	}
+	s.Spare /= max(usable, 1)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for name, f := range c.pool.Stats(now) {
+		s.Services = append(s.Services, serviceFigure{
+			Name: name, Targets: f.Targets, Slots: f.Slots, Free: f.Free,
+			Outstanding: f.Outstanding, Queued: f.Queued, Suspect: f.Suspect,
+		})
+	}
+	slices.SortFunc(s.Services, func(a, b serviceFigure) int { return cmp.Compare(a.Name, b.Name) })
+	return s
+}
+
+// coordinatorOf returns the coordinator of a zone. If none is known it asks
+// hosts of that zone, the way a host of a cut-off zone learns of others.
+func (z *Zone) coordinatorOf(ctx context.Context, zone string) string {
+	if zone == z.cfg.AvailabilityZone {
+		return z.coordinatorHint()
+	}
+	if host := z.directory.coordinator(z.cfg.Now(), zone); host != "" {
+		return host
+	}
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	host := z.anyHost(zone)
+	if host == "" {
+		return ""
+	}
+	reply, err := ask(ctx, z, host, "zone.summary", summaryRequest{}, z.handleSummary)
+	if err != nil || reply.Coordinator == "" {
+		return ""
+	}
+	z.directory.learn(z.cfg.Now(), zone, reply.Coordinator, 0)
+	return reply.Coordinator
+}
+
+// freeAt returns the last figure of free slots in a zone; ok is false if it is too old.
+func (z *Zone) freeAt(now time.Time, zone, service string) (free int, ok bool) {
+	e, known := z.directory.entry(zone)
+	if !known || now.Sub(e.heard) >= staleSummary {
+		return 0, false
+	}
+	for _, f := range e.Services {
+		if f.Name == service {
+			return f.Free, true
+		}
+	}
+	return 0, true
+}
--- /dev/null
+++ b/internal/zone/timing.go
@@ -0,0 +1,38 @@
+package zone
+
+import "time"
+
+const (
+	leaseTick       = 20 * time.Millisecond
+	poolTick        = 25 * time.Millisecond
+	beatInterval    = 500 * time.Millisecond
+	summaryInterval = time.Second
+	heldInterval    = 100 * time.Millisecond // between questions to hosts that have not answered a recovery
+	callTimeout     = time.Second
+	// tryTimeout bounds the first attempt at the own coordinator, so that a
+	// frozen one does not delay the other zones for long.
+	tryTimeout = 100 * time.Millisecond
+	// watchInterval is how often a waiting request checks for a new coordinator.
+	watchInterval = 50 * time.Millisecond
+	// remoteAfter is how long a request waits in its region before it asks
+	// other regions, which cost 12 to 20 ms more each way.
+	remoteAfter = 40 * time.Millisecond
+	// remoteInterval separates two rounds of questions to other regions.
+	remoteInterval = 250 * time.Millisecond
+	// silentAfter is how long a host may miss its heartbeats before look-ups leave it out.
+	silentAfter = 2 * time.Second
+	// staleSummary is the age from which a zone's figures are unknown.
+	staleSummary = 3 * time.Second
+	// lostAfter ends a stream whose renewals stay unanswered, ahead of
+	// slots.StreamSilence, at which the coordinator gives its slot to others.
+	lostAfter = 40 * time.Second
+	// releaseAttempts and releaseTimeout bound the delivery of a release; an
+	// undelivered one costs a slot until the deadline.
+	releaseAttempts = 4
+	releaseTimeout  = 500 * time.Millisecond
+	// noCoordinatorRetry is the advice to callers while no coordinator is known.
+	noCoordinatorRetry = time.Second
+	// nominalInFlight is the number of requests in flight at which an entry
+	// host counts as full for the weights of look-ups.
+	nominalInFlight = 256
+)
--- /dev/null
+++ b/internal/zone/zone.go
@@ -0,0 +1,127 @@
+package zone
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/peer"
+	"github.com/hornbeamstack/hornbeamstack/pkg/zonelease"
+	"golang.org/x/sync/errgroup"
+)
+
+// Zone is the zone runtime of one entry host. It is safe for concurrent use.
+type Zone struct {
+	cfg     Config
+	started time.Time
+	layouts atomic.Pointer[layout]
+
+	leaseMu   sync.Mutex
+	voter     *zonelease.Voter
+	candidate *zonelease.Candidate
+
+	coordinating atomic.Pointer[coordinator] // nil while another host coordinates
+
+	holder    *holder
+	directory *directory
+
+	inFlight atomic.Int64
+	leaving  atomic.Bool
+	calls    *tasks // goroutines that outlive the call that started them
+}
+
+// New returns the runtime and registers its methods on the server.
+func New(c Config) *Zone {
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	now := c.Now()
+	z := &Zone{
+		cfg: c, started: now,
+		voter:     zonelease.NewVoter(now),
+		candidate: zonelease.NewCandidate(c.Host, c.Incarnation, rand.Float64),
+		holder:    newHolder(),
+		directory: newDirectory(),
+		calls:     newTasks(),
+	}
+	peer.Register(c.Server, "zone.vote", z.handleVote)
+	peer.Register(c.Server, "zone.beat", z.handleBeat)
+	peer.Register(c.Server, "zone.summary", z.handleSummary)
+	peer.Register(c.Server, "slots.acquire", z.handleAcquire)
+	peer.Register(c.Server, "slots.release", z.handleRelease)
+	peer.Register(c.Server, "slots.renew", z.handleRenew)
+	peer.Register(c.Server, "slots.held", z.handleHeld)
+	peer.Register(c.Server, "target.announce", z.handleAnnounce)
+	return z
+}
+
+// Run elects, coordinates and sends heartbeats until ctx ends. At the end it
+// gives up the lease if it holds it.
+func (z *Zone) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	for interval, step := range map[time.Duration]func(context.Context){
+		leaseTick:       z.leaseStep,
+		poolTick:        z.poolStep,
+		beatInterval:    z.beatStep,
+		summaryInterval: z.summaryStep,
+		heldInterval:    z.recoveryStep,
+		renewTick:       z.renewStep,
+	} {
+		g.Go(func() error { every(ctx, interval, step); return nil })
+	}
+	err := g.Wait()
+	z.giveUp()
+	z.calls.Wait()
+	return err
+}
+
+// SetLoad sets the number of requests in flight that heartbeats report.
+func (z *Zone) SetLoad(inFlight int) { z.inFlight.Store(int64(inFlight)) }
+
+// Leave reports the host as leaving from the next heartbeat on and gives up
+// the lease, so that another host coordinates at once.
+func (z *Zone) Leave() {
+	z.leaving.Store(true)
+	z.giveUp()
+}
+
+// layout returns the index of the bundle in force.
+func (z *Zone) layout() *layout {
+	b := z.cfg.Bundle()
+	if l := z.layouts.Load(); l != nil && (l.bundle == b || b == nil) {
+		return l
+	}
+	l := newLayout(b)
+	z.layouts.Store(l)
+	return l
+}
+
+// every runs step at once and then at the interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, step func(context.Context)) {
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	for {
+		step(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// ask calls a method of a host, without the network if it is this host.
+func ask[Req, Resp any](ctx context.Context, z *Zone, host, method string, req Req,
+	local func(context.Context, string, Req) (Resp, error)) (Resp, error) {
+	if host == z.cfg.Host {
+		return local(ctx, host, req)
+	}
+	addr, ok := z.layout().peer[host]
+	if !ok {
+		var none Resp
+		return none, &UnknownHostError{Host: host}
+	}
+	return peer.Call[Req, Resp](ctx, z.cfg.Client, addr, method, req)
+}
--- /dev/null
+++ b/pkg/slots/acquire.go
@@ -0,0 +1,112 @@
+package slots
+
+import (
+	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/pkg/traffic"
+)
+
+// Acquire grants a slot, queues the request (queued is true, a Decision
+// follows) or refuses it with a BusyError.
+func (p *Pool) Acquire(now time.Time, r Request) (g Grant, queued bool, err error) {
+	if r.Class > traffic.Bulk {
+		r.Class = traffic.Bulk
+	}
+	if p.isKnown(r.ID) {
+		return Grant{}, false, &BusyError{RetryAfter: minRetryAfter}
+	}
+	s := p.service(r.Service)
+	if !p.Recovering() && s.queue.ahead(r.Class) == 0 {
+		if t := s.choose(now, p.policy, r.Exclude); t != nil {
+			return p.grant(now, t, r), false, nil
+		}
+	}
+	wait := min(r.MaxWait, r.Deadline.Sub(now))
+	expected := p.expectedWait(now, s, r)
+	if wait <= 0 || expected >= wait {
+		return Grant{}, false, busy(expected)
+	}
+	if s.queue.empty() {
+		s.flow.start(now)
+	}
+	s.queue.push(&waiter{request: r, until: now.Add(wait)})
+	p.waiting[r.ID] = s
+	return Grant{}, true, nil
+}
+
+// isKnown reports whether the request was released before it arrived, or
+// arrived twice.
+func (p *Pool) isKnown(id ID) bool {
+	_, cancelled := p.cancelled[id]
+	_, granted := p.permits[id]
+	_, waits := p.waiting[id]
+	return cancelled || granted || waits
+}
+
+func (p *Pool) grant(now time.Time, t *target, r Request) Grant {
+	p.grants++
+	t.granted = p.grants
+	t.outstanding++
+	if t.suspect() {
+		t.probeAt = now.Add(probeInterval)
+	}
+	p.permits[r.ID] = &permit{id: r.ID, target: t, expires: r.Deadline.Add(DeadlineMargin)}
+	return Grant{ID: r.ID, Target: t.address}
+}
+
+// expectedWait estimates when a request that joins the queue would get its slot.
+func (p *Pool) expectedWait(now time.Time, s *service, r Request) time.Duration {
+	if p.policy.Drained {
+		return maxRetryAfter
+	}
+	if p.Recovering() && now.Sub(p.started) >= recoveryQueueing {
+		return p.recoveryEnd().Sub(now)
+	}
+	if p.Recovering() || now.Sub(p.started) < AnnounceLifetime {
+		return 0
+	}
+	if live, _ := s.live(now, p.policy); live == 0 {
+		return maxRetryAfter
+	}
+	if s.queue.empty() {
+		return s.flow.gap
+	}
+	return s.flow.wait(now, s.queue.ahead(r.Class))
+}
+
+// serve gives free slots to waiting requests.
+func (p *Pool) serve(now time.Time, s *service) {
+	if s.queue.empty() {
+		return
+	}
+	s.queue.take(func(w *waiter) bool {
+		if !now.Before(w.until) {
+			p.decide(Decision{Grant: Grant{ID: w.request.ID}, Err: busy(s.flow.gap)})
+			return false
+		}
+		if p.Recovering() {
+			return true
+		}
+		t := s.choose(now, p.policy, w.request.Exclude)
+		if t == nil {
+			return true
+		}
+		p.decide(Decision{Grant: p.grant(now, t, w.request)})
+		return false
+	})
+}
+
+func (p *Pool) serveAll(now time.Time) {
+	for _, s := range p.services {
+		p.serve(now, s)
+	}
+}
+
+func (p *Pool) decide(d Decision) {
+	delete(p.waiting, d.ID)
+	p.decisions = append(p.decisions, d)
+}
+
+func busy(expected time.Duration) *BusyError {
+	return &BusyError{RetryAfter: min(max(expected, minRetryAfter), maxRetryAfter)}
+}
--- /dev/null
+++ b/pkg/slots/pool.go
@@ -0,0 +1,113 @@
+package slots
+
+import (
+	"slices"
+	"time"
+)
+
+// Pool holds the targets, permits and queue of one availability zone during
+// one coordinator's term. Permits that may be in use at a target never exceed
+// its slots.
+type Pool struct {
+	policy    Policy
+	started   time.Time
+	services  map[string]*service
+	targets   map[string]*target
+	owner     map[string]*service // service of a target's address
+	permits   map[ID]*permit
+	waiting   map[ID]*service
+	cancelled map[ID]time.Time
+	pending   map[string]time.Time // hosts whose permits are unknown, until when at most
+	decisions []Decision
+	grants    uint64
+}
+
+// NewPool returns the pool of a new term. hosts are the entry hosts that may
+// hold permits of earlier terms: nothing is granted before each has answered
+// or must have ended its work. lease is how long grants of an earlier term may
+// still reach their holders.
+func NewPool(now time.Time, p Policy, hosts []string, lease time.Duration) *Pool {
+	pool := &Pool{
+		policy: p, started: now,
+		services: map[string]*service{}, targets: map[string]*target{}, owner: map[string]*service{},
+		permits: map[ID]*permit{}, waiting: map[ID]*service{}, cancelled: map[ID]time.Time{},
+		pending: map[string]time.Time{},
+	}
+	for _, host := range hosts {
+		pool.pending[host] = now.Add(lease + p.HoldLimit())
+	}
+	return pool
+}
+
+// SetPolicy puts a new bundle's limits and drains in force.
+func (p *Pool) SetPolicy(now time.Time, policy Policy) {
+	p.policy = policy
+	p.serveAll(now)
+}
+
+// Decisions returns how waits of queued requests ended since the last call.
+func (p *Pool) Decisions() []Decision {
+	d := p.decisions
+	p.decisions = nil
+	return d
+}
+
+// Tick frees expired permits, ends waits and uses slots that time has made
+// available. Call it every few ten milliseconds.
+func (p *Pool) Tick(now time.Time) {
+	for host, until := range p.pending {
+		if !now.Before(until) {
+			delete(p.pending, host)
+		}
+	}
+	for _, held := range p.permits {
+		if !now.Before(held.expires) {
+			p.free(now, held)
+		}
+	}
+	for id, at := range p.cancelled {
+		if now.Sub(at) > cancelMemory {
+			delete(p.cancelled, id)
+		}
+	}
+	p.forgetTargets(now)
+	p.serveAll(now)
+}
+
+// Recovering reports whether permits of earlier terms may still be unknown.
+func (p *Pool) Recovering() bool { return len(p.pending) > 0 }
+
+func (p *Pool) service(name string) *service {
+	s, ok := p.services[name]
+	if !ok {
+		s = &service{name: name}
+		p.services[name] = s
+	}
+	return s
+}
+
+func (p *Pool) free(now time.Time, held *permit) {
+	delete(p.permits, held.id)
+	held.target.outstanding--
+	if s := p.owner[held.target.address]; !s.queue.empty() {
+		s.flow.freed(now)
+	}
+}
+
+// forgetTargets drops targets that have been silent for so long that no late
+// announcement can arrive.
+func (p *Pool) forgetTargets(now time.Time) {
+	for _, t := range p.targets {
+		if t.outstanding > 0 || now.Sub(t.heard) < forgetAfter {
+			continue
+		}
+		p.drop(t)
+	}
+}
+
+func (p *Pool) drop(t *target) {
+	s := p.owner[t.address]
+	s.targets = slices.DeleteFunc(s.targets, func(o *target) bool { return o == t })
+	delete(p.targets, t.address)
+	delete(p.owner, t.address)
+}
--- /dev/null
+++ b/pkg/slots/recover.go
@@ -0,0 +1,71 @@
+package slots
+
+import "time"
+
+// HeldAnswer takes in the permits that a host still holds. uptime is the age
+// of its process: work of an earlier process may go on for the grace period.
+func (p *Pool) HeldAnswer(now time.Time, h Holder, uptime time.Duration, permits []Held) {
+	until, ok := p.pending[h.Host]
+	if !ok {
+		return
+	}
+	for _, held := range permits {
+		p.restore(now, h, held)
+	}
+	if uptime < AbandonGrace {
+		p.pending[h.Host] = earlier(until, now.Add(AbandonGrace-uptime))
+		return
+	}
+	delete(p.pending, h.Host)
+	p.resume(now)
+}
+
+// HostRefused notes that no process listens at a host's address: its permits
+// end after the grace period.
+func (p *Pool) HostRefused(now time.Time, host string) {
+	if until, ok := p.pending[host]; ok {
+		p.pending[host] = earlier(until, now.Add(AbandonGrace))
+	}
+}
+
+// Pending returns the hosts that have not answered yet.
+func (p *Pool) Pending() []string {
+	hosts := make([]string, 0, len(p.pending))
+	for host := range p.pending {
+		hosts = append(hosts, host)
+	}
+	return hosts
+}
+
+func (p *Pool) restore(now time.Time, h Holder, held Held) {
+	id := ID{Holder: h, Number: held.Number}
+	if _, ok := p.permits[id]; ok {
+		return
+	}
+	t, ok := p.targets[held.Target]
+	if !ok {
+		t = p.add(held.Service, held.Target)
+	}
+	restored := &permit{id: id, target: t, streaming: held.Streaming, expires: held.Deadline.Add(DeadlineMargin)}
+	if held.Streaming {
+		restored.expires = now.Add(StreamSilence)
+	}
+	t.outstanding++
+	p.permits[id] = restored
+}
+
+func (p *Pool) resume(now time.Time) {
+	if !p.Recovering() {
+		p.serveAll(now)
+	}
+}
+
+func (p *Pool) recoveryEnd() time.Time {
+	var end time.Time
+	for _, until := range p.pending {
+		if until.After(end) {
+			end = until
+		}
+	}
+	return end
+}
--- /dev/null
+++ b/pkg/slots/request.go
@@ -0,0 +1,38 @@
+package slots
+
+import (
+	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/pkg/traffic"
+)
+
+// Request asks for one slot of a service.
+type Request struct {
+	ID       ID
+	Service  string
+	Class    traffic.Class
+	Deadline time.Time // the target must have ended its work, or started to answer, by then
+	MaxWait  time.Duration
+	Exclude  []string // targets that must not be chosen
+}
+
+// Grant is the answer to a request that got a slot.
+type Grant struct {
+	ID     ID
+	Target string // IP:port
+}
+
+// Decision ends the wait of a queued request: Err is nil if it got its slot.
+type Decision struct {
+	Grant
+	Err error
+}
+
+// Held is a permit that its holder reports to a new coordinator.
+type Held struct {
+	Number    uint64
+	Service   string
+	Target    string
+	Deadline  time.Time // unused while streaming
+	Streaming bool
+}
--- /dev/null
+++ b/pkg/slots/stats.go
@@ -0,0 +1,41 @@
+package slots
+
+import "time"
+
+// Stats are the figures of one service in the zone.
+type Stats struct {
+	Targets     int // live and ready
+	Suspect     int
+	Slots       int // usable at this instant
+	Free        int
+	Outstanding int
+	Queued      int
+}
+
+// Stats returns the figures of every service that has targets or a queue.
+func (p *Pool) Stats(now time.Time) map[string]Stats {
+	all := make(map[string]Stats, len(p.services))
+	for name, s := range p.services {
+		all[name] = p.serviceStats(now, s)
+	}
+	return all
+}
+
+func (p *Pool) serviceStats(now time.Time, s *service) Stats {
+	out := Stats{Queued: len(s.queue.classes[0]) + len(s.queue.classes[1])}
+	out.Targets, out.Suspect = s.live(now, p.policy)
+	limits, doubted := p.policy.Services[s.name], s.doubted(now, p.policy)
+	for _, t := range s.targets {
+		out.Outstanding += t.outstanding
+		if !t.fresh(now) || t.leaving || p.policy.DrainedTargets[t.address] || p.policy.Drained {
+			continue
+		}
+		usable := t.usable(now, limits, doubted)
+		out.Slots += usable
+		out.Free += max(usable-t.outstanding, 0)
+	}
+	if p.Recovering() {
+		out.Free = 0
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/zonelease/candidate.go
@@ -0,0 +1,207 @@
+package zonelease
+
+import (
+	"slices"
+	"time"
+)
+
+// Candidate seeks and keeps the lease. It is not safe for concurrent use.
+type Candidate struct {
+	host   string
+	self   string // host and incarnation
+	random func() float64
+
+	voters  []string
+	rounds  []*round
+	number  uint64
+	term    uint64
+	seen    uint64
+	held    bool
+	until   time.Time
+	next    time.Time
+	voting  bool // an election is open
+	stopped bool
+	dropped bool // left the voter list, release pending
+}
+
+// NewCandidate returns a candidate of the host's process. random returns values in [0, 1).
+func NewCandidate(host, incarnation string, random func() float64) *Candidate {
+	return &Candidate{host: host, self: host + "/" + incarnation, random: random}
+}
+
+// Self returns the name the candidate uses in requests.
+func (c *Candidate) Self() string { return c.self }
+
+// Term returns the term of the lease or of the running election.
+func (c *Candidate) Term() uint64 { return c.term }
+
+// Holds reports whether the candidate is coordinator at this instant.
+func (c *Candidate) Holds(now time.Time) bool { return c.held && now.Before(c.until) }
+
+// Until returns the end of the lease; it is zero without a lease.
+func (c *Candidate) Until() time.Time {
+	if !c.held {
+		return time.Time{}
+	}
+	return c.until
+}
+
+// SetVoters replaces the list of voters. A lease that an earlier list granted
+// runs on until its end; renewals need a majority of the new list.
+func (c *Candidate) SetVoters(hosts []string) {
+	if slices.Equal(c.voters, hosts) {
+		return
+	}
+	c.voters = slices.Clone(hosts)
+	if !slices.Contains(hosts, c.host) && c.held {
+		c.held, c.dropped = false, true
+	}
+}
+
+// Observe raises the next term above one that another process has seen.
+func (c *Candidate) Observe(term uint64) { c.seen = max(c.seen, term) }
+
+// Tick returns the requests to send to every voter now. promised is how long
+// the own voter still is promised to another candidate: while it is, an
+// election would only be refused.
+func (c *Candidate) Tick(now time.Time, promised time.Duration) []Request {
+	if c.held && !now.Before(c.until) {
+		c.lose(now)
+	}
+	switch {
+	case c.dropped:
+		c.dropped = false
+		return []Request{c.giveBack()}
+	case c.stopped || !slices.Contains(c.voters, c.host):
+		return nil
+	case c.held:
+		return c.renew(now)
+	case c.voting && (now.Sub(c.lastSent()) >= electionTimeout || c.lost()):
+		return c.endElection(now)
+	case c.voting || now.Before(c.next):
+		return nil
+	case promised > 0:
+		c.next = now.Add(min(promised, RenewInterval) + c.delay())
+		return nil
+	}
+	return c.elect(now)
+}
+
+// Handle counts a reply of a voter to the request of a round.
+func (c *Candidate) Handle(now time.Time, voter string, number uint64, r Reply) {
+	c.Observe(r.Term)
+	i := slices.IndexFunc(c.rounds, func(r *round) bool { return r.number == number })
+	if i < 0 || c.stopped {
+		return
+	}
+	counted := c.rounds[i]
+	if !r.Granted {
+		counted.refused[voter] = true
+		c.postpone(now, r.Remaining)
+		return
+	}
+	counted.granted[voter] = true
+	until := counted.sent.Add(HeldDuration)
+	if count(c.voters, counted.granted) >= c.majority() && now.Before(until) {
+		c.win(now, until)
+	}
+}
+
+// Release gives the lease up for good and returns the request for every voter.
+func (c *Candidate) Release() Request {
+	c.stopped, c.held, c.voting = true, false, false
+	return c.giveBack()
+}
+
+// StepDown gives the lease up but goes on as a candidate, with a higher term.
+// The request goes to every voter.
+func (c *Candidate) StepDown(now time.Time) Request {
+	c.lose(now)
+	c.voting = false
+	return c.giveBack()
+}
+
+// Wake ends the wait for another holder's lease that has been given back.
+func (c *Candidate) Wake(now time.Time) {
+	if !c.held && !c.voting {
+		c.next = now.Add(c.delay())
+	}
+}
+
+func (c *Candidate) majority() int { return len(c.voters)/2 + 1 }
+
+func (c *Candidate) lastSent() time.Time { return c.rounds[len(c.rounds)-1].sent }
+
+func (c *Candidate) lost() bool {
+	last := c.rounds[len(c.rounds)-1]
+	return count(c.voters, last.refused) > len(c.voters)-c.majority()
+}
+
+func (c *Candidate) win(now, until time.Time) {
+	if !c.held {
+		c.next = now.Add(RenewInterval)
+	}
+	c.held, c.voting = true, false
+	if until.After(c.until) {
+		c.until = until
+	}
+}
+
+func (c *Candidate) lose(now time.Time) {
+	c.held, c.rounds = false, nil
+	c.next = now.Add(c.delay())
+}
+
+func (c *Candidate) renew(now time.Time) []Request {
+	if now.Before(c.next) {
+		return nil
+	}
+	c.next = now.Add(RenewInterval)
+	return []Request{c.open(now)}
+}
+
+func (c *Candidate) elect(now time.Time) []Request {
+	// Wall-clock terms keep rising when all voters of the zone restart and
+	// forget; exclusion rests on the promises, not on the clock.
+	wall := max(now.UnixMilli(), 0)
+	c.term = max(c.seen+1, uint64(wall))
+	c.seen = c.term
+	c.voting, c.rounds = true, nil
+	c.until = time.Time{}
+	return []Request{c.open(now)}
+}
+
+func (c *Candidate) endElection(now time.Time) []Request {
+	c.voting, c.rounds = false, nil
+	if at := now.Add(c.delay()); at.After(c.next) {
+		c.next = at
+	}
+	return []Request{c.giveBack()}
+}
+
+func (c *Candidate) open(now time.Time) Request {
+	c.number++
+	c.rounds = slices.DeleteFunc(c.rounds, func(r *round) bool { return now.Sub(r.sent) > HeldDuration })
+	c.rounds = append(c.rounds, newRound(c.number, now))
+	return Request{Candidate: c.self, Term: c.term, Round: c.number}
+}
+
+func (c *Candidate) giveBack() Request {
+	return Request{Candidate: c.self, Term: c.term, Release: true}
+}
+
+func (c *Candidate) postpone(now time.Time, remaining time.Duration) {
+	if c.held {
+		return
+	}
+	if at := now.Add(min(remaining, LeaseDuration) + c.delay()); at.After(c.next) {
+		c.next = at
+	}
+}
+
+// delay orders candidates by their place in the list, with some randomness
+// against repeated ties.
+func (c *Candidate) delay() time.Duration {
+	rank := min(max(slices.Index(c.voters, c.host), 0), maxRanks)
+	return time.Duration((float64(rank) + c.random()) * float64(rankDelay))
+}
