Add in-process deployments and the load measurement

Cause: decisions under load could not be compared. Change: internal/cluster runs a whole deployment in one process over loopback sockets; hornbeam-measure loads it at 85% and at twice the capacity under three policies (random, least reported load, current). kratos logs through the program's logger.

--- /dev/null
+++ b/internal/cluster/cluster.go
@@ -0,0 +1,171 @@
+// Package cluster runs a whole deployment in one process: control hosts, entry
+// hosts and stand-in targets, each on its own loopback address and joined by
+// real sockets. Measurements and focused tests use it.
+package cluster
+
+import (
+	"context"
+	"crypto/ed25519"
+	"crypto/rand"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/node"
+	"github.com/hornbeamstack/hornbeamstack/internal/settings"
+	"github.com/hornbeamstack/hornbeamstack/internal/standin"
+	"github.com/hornbeamstack/hornbeamstack/pkg/bundle"
+)
+
+const operator = "cluster-operator"
+
+// Options describe a deployment to start.
+type Options struct {
+	BundleFile string
+	Folder     string                      // settings and data; a temporary one if empty
+	Targets    map[string]int              // stand-in targets by service, spread over the zones in turn; none if nil
+	Zones      []string                    // availability zones that get targets; all if empty
+	MeanWork   time.Duration               // mean of the exponential work time
+	Seed       uint64                      // of the work times
+	Edit       func(*bundle.Bundle)        // changes the first version
+	Entry      []node.EntryOption          // for every entry host
+	Target     func(*standin.Config)       // changes the settings of a target
+	Keep       bool                        // keep Folder
+	Only       func(host bundle.Host) bool // hosts to start; all if nil
+}
+
+// Cluster is a running deployment.
+type Cluster struct {
+	Bundle   *bundle.Bundle // version 1
+	Controls map[string]*node.Control
+	Entries  map[string]*node.Entry
+	Targets  []*standin.Target
+
+	options Options
+	key     ed25519.PrivateKey
+	current *bundle.Bundle // newest version rolled out
+	root    bundle.Digest
+}
+
+// Start runs the deployment and waits until every entry host has the bundle in force.
+func Start(ctx context.Context, o Options) (*Cluster, error) {
+	text, err := os.ReadFile(o.BundleFile)
+	if err != nil {
+		return nil, err
+	}
+	b, found := bundle.Parse(o.BundleFile, text)
+	if err := found.Err(); err != nil {
+		return nil, err
+	}
+	if o.Edit != nil {
+		o.Edit(b)
+	}
+	if o.Folder == "" {
+		if o.Folder, err = os.MkdirTemp("", "hornbeam-cluster-"); err != nil {
+			return nil, err
+		}
+	}
+	c := &Cluster{Bundle: b, Controls: map[string]*node.Control{}, Entries: map[string]*node.Entry{}, options: o}
+	if err := c.start(ctx); err != nil {
+		c.Stop()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *Cluster) start(ctx context.Context) error {
+	public, private, err := ed25519.GenerateKey(rand.Reader)
+	if err != nil {
+		return err
+	}
+	c.key = private
+	keys := map[string]string{operator: base64.StdEncoding.EncodeToString(public)}
+	files, err := settings.WriteForBundle(c.options.Folder, c.Bundle, keys)
+	if err != nil {
+		return err
+	}
+	for _, h := range c.Bundle.Hosts {
+		if c.options.Only != nil && !c.options.Only(h) {
+			continue
+		}
+		if err := c.startHost(h, files[h.Name]); err != nil {
+			return fmt.Errorf("start %s: %w", h.Name, err)
+		}
+	}
+	if err := c.startTargets(); err != nil {
+		return err
+	}
+	return c.Rollout(ctx, c.Bundle)
+}
+
+func (c *Cluster) startHost(h bundle.Host, file string) error {
+	if h.Role == bundle.RoleControl {
+		s, err := settings.LoadControl(file)
+		if err != nil {
+			return err
+		}
+		s.LogLevel, s.TraceFile = "error", ""
+		c.Controls[h.Name], err = node.StartControl(s, true)
+		return err
+	}
+	s, err := settings.LoadEntry(file)
+	if err != nil {
+		return err
+	}
+	s.LogLevel, s.TraceFile = "error", ""
+	e, err := node.StartEntry(s, c.options.Entry...)
+	if err == nil {
+		c.Entries[h.Name] = e
+	}
+	return err
+}
+
+// Stop ends all targets and hosts at once.
+func (c *Cluster) Stop() {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel() // no graceful shutdown: requests in flight are cut
+	var wg sync.WaitGroup
+	for _, t := range c.Targets {
+		wg.Go(t.Kill)
+	}
+	for _, e := range c.Entries {
+		wg.Go(func() { _ = e.Stop(ctx) })
+	}
+	wg.Wait()
+	for _, h := range c.Controls {
+		wg.Go(func() { _ = h.Stop(ctx) })
+	}
+	wg.Wait()
+	if !c.options.Keep {
+		_ = os.RemoveAll(c.options.Folder)
+	}
+}
+
+// Rollout signs the next version and returns once every entry host has it in force.
+func (c *Cluster) Rollout(ctx context.Context, next *bundle.Bundle) error {
+	if err := c.Submit(ctx, next); err != nil {
+		return err
+	}
+	for name, e := range c.Entries {
+		for e.Version() < next.Version {
+			select {
+			case <-ctx.Done():
+				return fmt.Errorf("version %d is not in force on %s: %w", next.Version, name, ctx.Err())
+			case <-time.After(time.Millisecond):
+			}
+		}
+	}
+	return nil
+}
+
+// Next returns a copy of the newest version with the next number.
+func (c *Cluster) Next() *bundle.Bundle {
+	next := *c.current
+	next.Version++
+	return &next
+}
+
+var errNoAnswer = errors.New("no control host answered")
--- /dev/null
+++ b/internal/cluster/submit.go
@@ -0,0 +1,65 @@
+package cluster
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/pkg/bundle"
+)
+
+// retryPause is the wait between two rounds over the control hosts.
+const retryPause = 50 * time.Millisecond
+
+// Submit signs a version and returns once a control host has accepted it.
+func (c *Cluster) Submit(ctx context.Context, next *bundle.Bundle) error {
+	header := bundle.Sign(next.Version, c.root, next.Root(), operator, c.key)
+	signed, err := bundle.NewSigned(header, next, nil)
+	if err != nil {
+		return err
+	}
+	body, err := json.Marshal(signed)
+	if err != nil {
+		return err
+	}
+	last := errNoAnswer
+	for ctx.Err() == nil {
+		for _, h := range next.Hosts {
+			if h.Role != bundle.RoleControl {
+				continue
+			}
+			status, text, err := post(ctx, "http://"+h.HTTP+"/v1/bundles", body)
+			switch {
+			case err != nil:
+				last = err
+			case status == http.StatusOK:
+				c.current, c.root = next, header.Root
+				return nil
+			case status == http.StatusServiceUnavailable:
+				last = fmt.Errorf("%s: %s", h.Name, text)
+			default:
+				return fmt.Errorf("version %d refused with status %d: %s", next.Version, status, text)
+			}
+		}
+		time.Sleep(retryPause)
+	}
+	return fmt.Errorf("submit version %d: %w", next.Version, last)
+}
+
+func post(ctx context.Context, url string, body []byte) (status int, text []byte, err error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err = io.ReadAll(resp.Body)
+	return resp.StatusCode, text, err
+}
--- /dev/null
+++ b/internal/cluster/targets.go
@@ -0,0 +1,58 @@
+package cluster
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/standin"
+	"github.com/hornbeamstack/hornbeamstack/pkg/bundle"
+)
+
+// startTargets spreads the targets of each service over the chosen zones in turn.
+func (c *Cluster) startTargets() error {
+	zones := c.targetZones()
+	number := map[string]int{} // targets started, by zone
+	for i, s := range c.Bundle.Services {
+		for k := range c.options.Targets[s.Name] {
+			z := zones[k%len(zones)]
+			number[z.Name]++
+			if err := c.startTarget(z, s, number[z.Name], c.options.Seed+uint64(1000*i+k)); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (c *Cluster) targetZones() []bundle.AvailabilityZone {
+	if len(c.options.Zones) == 0 {
+		return c.Bundle.Zones
+	}
+	return slices.DeleteFunc(slices.Clone(c.Bundle.Zones), func(z bundle.AvailabilityZone) bool {
+		return !slices.Contains(c.options.Zones, z.Name)
+	})
+}
+
+func (c *Cluster) startTarget(z bundle.AvailabilityZone, s bundle.Service, number int, seed uint64) error {
+	network, _, _ := strings.Cut(z.TargetPrefixes[0], "/")
+	config := standin.Config{
+		Address: fmt.Sprintf("%s%d:9000", network[:strings.LastIndexByte(network, '.')+1], 10+number),
+		Service: s.Name, Zone: z.Name, Slots: s.Slots, Connections: s.Connections,
+		MeanWork: c.options.MeanWork, Seed: seed,
+	}
+	for _, h := range c.Bundle.Hosts {
+		if h.Role == bundle.RoleEntry && h.AvailabilityZone == z.Name {
+			config.Entries = append(config.Entries, h.HTTP)
+		}
+	}
+	if c.options.Target != nil {
+		c.options.Target(&config)
+	}
+	t, err := standin.Start(config)
+	if err != nil {
+		return err
+	}
+	c.Targets = append(c.Targets, t)
+	return nil
+}
--- /dev/null
+++ b/internal/measure/run.go
@@ -0,0 +1,91 @@
+package measure
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"runtime"
+	"slices"
+	"time"
+)
+
+// measurement is one named case on one shape under one policy.
+type measurement struct {
+	name   string
+	shape  shape
+	policy string
+	run    func(ctx context.Context, s shape, policy string) ([]Row, error)
+}
+
+// measurements lists all cases in the order in which they run.
+func measurements() []measurement {
+	var all []measurement
+	for _, s := range shapes {
+		for _, policy := range []string{policyRandom, policyLeastLoad, policyCurrent} {
+			all = append(all,
+				measurement{"busy", s, policy, func(ctx context.Context, s shape, p string) ([]Row, error) { return busyCase(ctx, s, p, 0.85) }},
+				measurement{"overload", s, policy, func(ctx context.Context, s shape, p string) ([]Row, error) { return busyCase(ctx, s, p, 2) }})
+		}
+	}
+	return all
+}
+
+// Run measures the named cases, or all, and returns their rows.
+func Run(ctx context.Context, progress io.Writer, names []string) ([]Row, error) {
+	var rows []Row
+	for _, m := range measurements() {
+		if len(names) > 0 && !slices.Contains(names, m.name) {
+			continue
+		}
+		began := time.Now()
+		got, err := m.run(ctx, m.shape, m.policy)
+		if err != nil {
+			return rows, fmt.Errorf("%s on %s under %s: %w", m.name, m.shape.name, m.policy, err)
+		}
+		rows = append(rows, got...)
+		_, _ = fmt.Fprintf(progress, "case=%s deployment=%s policy=%q took=%s\n", m.name, m.shape.name, m.policy, time.Since(began).Round(time.Millisecond))
+	}
+	return rows, nil
+}
+
+// Beside adds the rows of an earlier run, each behind the row that it compares to.
+func Beside(rows []Row, file string) ([]Row, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	var old []Row
+	if err := json.Unmarshal(data, &old); err != nil {
+		return nil, fmt.Errorf("rows of %s: %w", file, err)
+	}
+	var out []Row
+	for _, r := range rows {
+		out = append(out, r)
+		for _, o := range old {
+			if o.Policy == policyCurrent && r.Policy == policyCurrent && o.Deployment == r.Deployment && o.Case == r.Case && o.Figure == r.Figure {
+				o.Policy, o.Verdict = "previous commit", ""
+				out = append(out, o)
+			}
+		}
+	}
+	return out, nil
+}
+
+// WritePage writes the table with what a reader needs to repeat it.
+func WritePage(file string, rows []Row) error {
+	f, err := os.Create(file)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(f, "# Load measurement\n\nWritten by `make measure` on a machine with %d cores (%s/%s). 24 entry hosts, control hosts and\n"+
+		"stand-in targets run in one process over loopback sockets, without the latency between zones and regions.\n"+
+		"Open-loop Poisson arrivals, exponential work of %s on average, fixed seeds.\n\n", runtime.NumCPU(), runtime.GOOS, runtime.GOARCH, meanWork)
+	if err != nil {
+		_ = f.Close()
+		return err
+	}
+	WriteTable(f, rows)
+	return f.Close()
+}
--- a/internal/node/base.go
+++ b/internal/node/base.go
@@ -47,6 +47,7 @@
 	if b.log, err = telemetry.NewLogger(os.Stderr, id.program, id.host, id.level); err != nil {
 		return nil, err
 	}
+	telemetry.UseForKratos(b.log)
 	if b.tracing, err = telemetry.NewTracing(id.program, id.host, id.traceFile); err != nil {
 		return nil, err
 	}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -130,6 +130,12 @@
 	}
 }
 
+// Traffic returns the bytes of messages between own processes, both directions.
+func (c *Control) Traffic() int64 { return c.server.Traffic().Total() + c.client.Traffic().Total() }
+
+// Leads reports whether this host leads the agreement group.
+func (c *Control) Leads() bool { return c.leads() }
+
 // Stop ends the host after requests in flight.
 func (c *Control) Stop(ctx context.Context) error {
 	err := c.http.Stop(ctx)
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -32,6 +32,7 @@
 	holder    *rollout.Holder
 	reporter  *rollout.Reporter
 	zone      *zone.Zone
+	permits   entry.Permits
 	claims    *claims.Client
 	limiter   *limiter
 	lookups   *lookups
@@ -41,8 +42,20 @@
 	hasBundle atomic.Bool
 }
 
+// EntryOption replaces a part of an entry host, for measurements that compare policies.
+type EntryOption func(*Entry)
+
+// WithPermits replaces the slot permits of the availability zones.
+func WithPermits(p entry.Permits) EntryOption { return func(e *Entry) { e.permits = p } }
+
+// Zone returns the zone runtime of the host.
+func (e *Entry) Zone() *zone.Zone { return e.zone }
+
+// Traffic returns the bytes of messages between own processes, both directions.
+func (e *Entry) Traffic() int64 { return e.server.Traffic().Total() + e.client.Traffic().Total() }
+
 // StartEntry opens the ports and starts all parts of an entry host.
-func StartEntry(s *settings.Entry) (*Entry, error) {
+func StartEntry(s *settings.Entry, options ...EntryOption) (*Entry, error) {
 	keys, err := settings.PublicKeys(s.OperatorKeys)
 	if err != nil {
 		return nil, err
@@ -53,6 +66,9 @@
 	}
 	e := &Entry{base: b, settings: s, holder: rollout.NewHolder(keys), directory: &directory{zone: s.AvailabilityZone}}
 	e.build()
+	for _, o := range options {
+		o(e)
+	}
 	ctx := b.start()
 	if err := e.buildSurface(); err != nil {
 		return nil, errors.Join(err, b.end())
@@ -69,10 +85,11 @@
 		Host: e.settings.Host, Incarnation: incarnation, AvailabilityZone: e.settings.AvailabilityZone,
 		Bundle: e.bundle, Server: e.server, Client: e.client, Log: e.log,
 	})
+	e.permits = permits{e.zone}
 	e.claims = claims.NewClient(e.settings.Host, incarnation, e.claimStores, e.client, time.Now)
 	e.lookups = &lookups{zone: e.settings.AvailabilityZone, view: e.zone.View, log: e.log}
 	e.reporter = rollout.NewReporter(e.settings.Host, e.settings.AvailabilityZone, e.holder, e.client, e.headroom)
-	rollout.ServeFetch(e.server, e.holder, e.version, e.leader)
+	rollout.ServeFetch(e.server, e.holder, e.Version, e.leader)
 	e.limiter = newLimiter()
 	e.holder.Subscribe(e.useBundle)
 }
@@ -91,7 +108,7 @@
 func (e *Entry) buildSurface() error {
 	var err error
 	e.surface, err = entry.NewSurface(entry.Config{
-		Listener: e.http, Host: e.settings.Host, Directory: e.directory, Permits: permits{e.zone},
+		Listener: e.http, Host: e.settings.Host, Directory: e.directory, Permits: e.permits,
 		Claims: claimSource{e.claims}, Links: e.limiter, Lookups: e.lookups, Targets: targets{e.zone},
 		Ready: e.ready, Registry: e.registry, Tracing: e.tracing, Log: e.log,
 	})
@@ -148,7 +165,8 @@
 	return nil
 }
 
-func (e *Entry) version() uint64 {
+// Version returns the bundle version in force, 0 if there is none.
+func (e *Entry) Version() uint64 {
 	if a := e.holder.Current(); a != nil {
 		return a.Version
 	}
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -55,6 +55,9 @@
 // Address returns the IP:port that the target listens on.
 func (t *Target) Address() string { return t.address }
 
+// Service returns the service that the target belongs to.
+func (t *Target) Service() string { return t.config.Service }
+
 // Stats returns the counts of the target.
 func (t *Target) Stats() Stats { return t.counts.read() }
 
