Bound the slot queue by the time that work takes

Cause: at twice the capacity the queue admitted every request whose expected wait was below its deadline of 2 s, so all waits grew to the deadline, targets worked on requests that then missed it, and refusals came after 2 s. In the first 3 s of a coordinator's term there was no limit at all, even with targets announced. Ruled out: lost grants and slots idle between two grants (at 85% of capacity no slot time is lost), stale load figures (not used). Change: a request queues only if the expected wait is below four mean holding times and leaves time for the work; the term's first seconds admit without an estimate only while no target is known. TestOverloadKeepsTheQueueShort failed before.

--- a/pkg/slots/acquire.go
+++ b/pkg/slots/acquire.go
@@ -21,9 +21,9 @@
 			return p.grant(now, t, r), false, nil
 		}
 	}
-	wait := min(r.MaxWait, r.Deadline.Sub(now))
+	wait := min(r.MaxWait, s.flow.limit(r.Deadline.Sub(now)))
 	expected := p.expectedWait(now, s, r)
-	if wait <= 0 || expected >= wait {
+	if wait <= 0 || !s.flow.admits(expected, wait) {
 		return Grant{}, false, busy(expected)
 	}
 	if s.queue.empty() {
@@ -50,7 +50,7 @@
 	if t.suspect() {
 		t.probeAt = now.Add(probeInterval)
 	}
-	p.permits[r.ID] = &permit{id: r.ID, target: t, expires: r.Deadline.Add(DeadlineMargin)}
+	p.permits[r.ID] = &permit{id: r.ID, target: t, since: now, expires: r.Deadline.Add(DeadlineMargin)}
 	return Grant{ID: r.ID, Target: t.address}
 }
 
@@ -62,10 +62,13 @@
 	if p.Recovering() && now.Sub(p.started) >= recoveryQueueing {
 		return p.recoveryEnd().Sub(now)
 	}
-	if p.Recovering() || now.Sub(p.started) < AnnounceLifetime {
+	if p.Recovering() {
 		return 0
 	}
 	if live, _ := s.live(now, p.policy); live == 0 {
+		if now.Sub(p.started) < AnnounceLifetime {
+			return 0 // targets have not had time to announce themselves to this term
+		}
 		return maxRetryAfter
 	}
 	if s.queue.empty() {
--- a/pkg/slots/permit.go
+++ b/pkg/slots/permit.go
@@ -6,6 +6,7 @@
 type permit struct {
 	id        ID
 	target    *target
+	since     time.Time // grant; zero if another coordinator granted it
 	expires   time.Time
 	streaming bool
 	released  bool // waits for the end of its grace period
--- a/pkg/slots/release.go
+++ b/pkg/slots/release.go
@@ -19,6 +19,9 @@
 		return
 	}
 	held.target.observe(now, o)
+	if o == OutcomeDone && !held.since.IsZero() {
+		p.owner[held.target.address].flow.held(now.Sub(held.since))
+	}
 	p.end(now, held, o)
 	p.serve(now, p.owner[held.target.address])
 }
