--- a/pkg/bundle/check_change.go
+++ b/pkg/bundle/check_change.go
@@ -3,9 +3,12 @@
 import "github.com/hornbeamstack/hornbeamstack/pkg/finding"
 
 // Check checks the step from the previous version to the next one, beside the
-// content of next. previous is nil for version 1.
+// content of next. previous is nil for version 1; otherwise it was checked before.
 func Check(next, previous *Bundle) finding.List {
-	found := CheckContent(next.Deployment, next)
+	c := newChecker(next.Deployment, next, recordKey(next))
+	c.previous = previous
+	c.run()
+	found := c.found
 	if previous == nil {
 		if next.Version != 1 {
 			found.Add(next.Deployment, 0, "version", "the first version must be 1, not %d", next.Version)
--- a/pkg/bundle/check_places.go
+++ b/pkg/bundle/check_places.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"net/netip"
 	"slices"
+	"strconv"
 )
 
 func (c *checker) checkRegions() {
@@ -44,39 +45,51 @@
 	}
 }
 
-// placedPrefix is a prefix with its place in the file.
+// placedPrefix is a prefix with its place in a list.
 type placedPrefix struct {
 	prefix netip.Prefix
-	key    func() string
+	place  int
 }
 
 func (c *checker) checkTargetPrefixes() {
 	var all []placedPrefix
+	var keys []string
 	for i, z := range c.b.Zones {
 		for j, text := range z.TargetPrefixes {
-			key := func() string { return at(at("zone", i, "target_prefixes"), j, "") }
-			if p, ok := c.prefix(key, text); ok {
-				all = append(all, placedPrefix{p, key})
+			keys = append(keys, at(at("zone", i, "target_prefixes"), j, ""))
+			if p, ok := c.prefix(text, keys[len(keys)-1]); ok {
+				all = append(all, placedPrefix{p, len(keys) - 1})
 			}
 		}
 	}
-	c.checkOverlaps(all)
+	c.checkOverlaps(all, func(i int) string { return keys[i] })
 }
 
 func (c *checker) checkBlocks() {
 	all := make([]placedPrefix, 0, len(c.b.Blocks))
-	for i, block := range c.b.Blocks {
-		key := func() string { return c.blockKey(i, "prefix") }
-		if p, ok := c.prefix(key, block.Prefix); ok {
-			all = append(all, placedPrefix{p, key})
-		}
-		if _, ok := c.zones[block.AvailabilityZone]; !ok {
-			c.unknownZone(c.blockKey(i, "zone"), block.AvailabilityZone)
+	for i := range c.b.Blocks {
+		if p, ok := c.block(i); ok {
+			all = append(all, placedPrefix{p, i})
 		}
 	}
-	c.checkOverlaps(all)
+	c.checkOverlaps(all, c.prefixKey)
+}
+
+// block checks one block by itself.
+func (c *checker) block(i int) (netip.Prefix, bool) {
+	block := &c.b.Blocks[i]
+	if _, ok := c.zones[block.AvailabilityZone]; !ok {
+		c.unknownZone(c.blockKey(i, "zone"), block.AvailabilityZone)
+	}
+	p, problem := parsePrefix(block.Prefix)
+	if problem != "" {
+		c.add(c.prefixKey(i), "%s", problem)
+	}
+	return p, problem == ""
 }
 
+func (c *checker) prefixKey(i int) string { return c.blockKey(i, "prefix") }
+
 func (c *checker) unknownZone(key, zone string) {
 	if zone == "" {
 		c.add(key, "availability zone is missing")
@@ -85,35 +98,43 @@
 	c.add(key, "availability zone %q does not exist", zone)
 }
 
-func (c *checker) prefix(key func() string, text string) (netip.Prefix, bool) {
+func (c *checker) prefix(text, key string) (netip.Prefix, bool) {
+	p, problem := parsePrefix(text)
+	if problem != "" {
+		c.add(key, "%s", problem)
+	}
+	return p, problem == ""
+}
+
+// parsePrefix parses a prefix in its one canonical spelling or says what is wrong with it.
+func parsePrefix(text string) (netip.Prefix, string) {
 	p, err := netip.ParsePrefix(text)
+	var canonical [64]byte
 	switch {
 	case err != nil:
-		c.add(key(), "%q is not an IP prefix such as 10.1.0.0/16", text)
+		return p, strconv.Quote(text) + " is not an IP prefix such as 10.1.0.0/16"
 	case p.Addr().Is4In6():
-		c.add(key(), "%q must be written as an IPv4 prefix", text)
+		return p, strconv.Quote(text) + " must be written as an IPv4 prefix"
 	case p != p.Masked():
-		c.add(key(), "%q has address bits beyond its length, write %s", text, p.Masked())
-	case p.String() != text:
-		c.add(key(), "%q must be written as %s", text, p)
-	default:
-		return p, true
+		return p, strconv.Quote(text) + " has address bits beyond its length, write " + p.Masked().String()
+	case string(p.AppendTo(canonical[:0])) != text:
+		return p, strconv.Quote(text) + " must be written as " + p.String()
 	}
-	return p, false
+	return p, ""
 }
 
 // checkOverlaps sorts prefixes by address, so that a prefix that overlaps
 // others comes directly before them.
-func (c *checker) checkOverlaps(all []placedPrefix) {
+func (c *checker) checkOverlaps(all []placedPrefix, key func(place int) string) {
 	slices.SortFunc(all, func(x, y placedPrefix) int {
 		return cmp.Or(x.prefix.Addr().Compare(y.prefix.Addr()), cmp.Compare(x.prefix.Bits(), y.prefix.Bits()))
 	})
-	var outer placedPrefix
-	for _, p := range all {
-		if outer.key != nil && outer.prefix.Overlaps(p.prefix) {
-			c.add(p.key(), "%s overlaps %s at %s", p.prefix, outer.prefix, outer.key())
+	outer := 0
+	for i := 1; i < len(all); i++ {
+		if all[outer].prefix.Overlaps(all[i].prefix) {
+			c.add(key(all[i].place), "%s overlaps %s at %s", all[i].prefix, all[outer].prefix, key(all[outer].place))
 			continue
 		}
-		outer = p
+		outer = i
 	}
 }
--- a/pkg/bundle/checker.go
+++ b/pkg/bundle/checker.go
@@ -15,8 +15,9 @@
 	blockKey func(i int, field string) string
 	found    finding.List
 
-	regions map[string]bool
-	zones   map[string]string // zone to region
+	previous *Bundle // already checked, nil if there is none
+	regions  map[string]bool
+	zones    map[string]string // zone to region
 }
 
 func newChecker(file string, b *Bundle, blockKey func(int, string) string) *checker {
@@ -25,11 +26,16 @@
 
 // CheckContent checks a bundle that does not come from a TOML file.
 func CheckContent(name string, b *Bundle) finding.List {
-	c := newChecker(name, b, func(i int, _ string) string { return "block/" + b.Blocks[i].Prefix })
+	c := newChecker(name, b, recordKey(b))
 	c.run()
 	return c.found
 }
 
+// recordKey names blocks by their records, for bundles without a file.
+func recordKey(b *Bundle) func(int, string) string {
+	return func(i int, _ string) string { return "block/" + b.Blocks[i].Prefix }
+}
+
 func (c *checker) run() {
 	c.checkRoot()
 	c.checkRegions()
@@ -39,7 +45,7 @@
 	c.checkSpread()
 	c.checkLinks()
 	c.checkServices()
-	c.checkBlocks()
+	c.checkChangedBlocks()
 	c.checkDrains()
 }
 
--- a/pkg/bundle/kind.go
+++ b/pkg/bundle/kind.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"reflect"
 	"slices"
+	"sort"
 	"strings"
 
 	"github.com/fxamacker/cbor/v2"
@@ -68,9 +69,11 @@
 			k.tidy(&items[i])
 		}
 	}
-	byKey := func(x, y T) int { return cmp.Compare(k.key(&x), k.key(&y)) }
-	if !slices.IsSortedFunc(items, byKey) {
-		slices.SortFunc(items, byKey)
+	// Comparing by index keeps items off the heap; a copy for each comparison
+	// made 25 million allocations for 640,000 blocks.
+	byKey := func(i, j int) bool { return k.key(&items[i]) < k.key(&items[j]) }
+	if !sort.SliceIsSorted(items, byKey) {
+		sort.Slice(items, byKey)
 	}
 }
 
@@ -129,7 +132,8 @@
 	for _, c := range changes {
 		key := strings.TrimPrefix(c.Key, k.kindName+"/")
 		rest := old[i:]
-		n, exists := slices.BinarySearchFunc(rest, key, func(item T, key string) int { return cmp.Compare(k.key(&item), key) })
+		n := sort.Search(len(rest), func(n int) bool { return k.key(&rest[n]) >= key })
+		exists := n < len(rest) && k.key(&rest[n]) == key
 		next = append(next, rest[:n]...)
 		i += n
 		if exists {
