--- /dev/null
+++ b/internal/ctl/cluster_test.go
@@ -0,0 +1,194 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"crypto/ed25519"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/charmbracelet/log"
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/controlapi"
+	"github.com/hornbeamstack/hornbeamstack/internal/history"
+	"github.com/hornbeamstack/hornbeamstack/internal/peer"
+	"github.com/hornbeamstack/hornbeamstack/internal/rollout"
+	"github.com/hornbeamstack/hornbeamstack/internal/settings"
+)
+
+// cluster is a stand-in for three control hosts whose machines apply the same log.
+type cluster struct {
+	t        *testing.T
+	folder   string
+	keys     map[string]ed25519.PublicKey
+	machines []*history.Machine
+	servers  []*httptest.Server
+	dists    []*rollout.Distributor
+
+	mu     sync.Mutex
+	leader int // -1: none
+	lose   int // proposals that are accepted but whose response is lost
+	drop   int // requests whose connection is cut after they were handled
+}
+
+var names = []string{"control-1", "control-2", "control-3"}
+
+func newCluster(t *testing.T, operators ...string) *cluster {
+	t.Helper()
+	c := &cluster{t: t, folder: t.TempDir(), keys: map[string]ed25519.PublicKey{}}
+	for _, operator := range operators {
+		key := filepath.Join(c.folder, operator+".key")
+		if code, _, errText := c.ctl("key", "new", key); code != ExitDone {
+			t.Fatal(errText)
+		}
+		private, err := readKey(key)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.keys[operator] = private.Public().(ed25519.PublicKey)
+	}
+	var members []settings.Member
+	for range names {
+		c.servers = append(c.servers, httptest.NewUnstartedServer(nil))
+	}
+	for i, name := range names {
+		members = append(members, settings.Member{Name: name, HTTP: c.servers[i].Listener.Addr().String()})
+	}
+	for i := range names {
+		c.start(i, members)
+	}
+	return c
+}
+
+func (c *cluster) start(i int, members []settings.Member) {
+	quiet := log.New(io.Discard)
+	machine := history.New(c.keys)
+	distributor := rollout.NewDistributor(peer.NewServer(names[i]), peer.NewClient(names[i]), "127.0.0.1:1", func() bool { return false }, quiet)
+	api := &controlapi.API{Host: names[i], Members: members, Group: &member{c, i}, Machine: machine, Distributor: distributor,
+		Metrics: metrics.NewRegistry(), Log: quiet, Client: http.DefaultClient}
+	srv := khttp.NewServer(khttp.Timeout(0))
+	api.Register(srv)
+	c.machines, c.dists = append(c.machines, machine), append(c.dists, distributor)
+	c.servers[i].Config.Handler = c.cutting(srv)
+	c.servers[i].Start()
+	c.t.Cleanup(c.servers[i].Close)
+}
+
+// cutting closes connections after the request was handled, as a lost response does.
+func (c *cluster) cutting(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c.mu.Lock()
+		cut := r.Method == http.MethodPost && c.drop > 0
+		if cut {
+			c.drop--
+		}
+		c.mu.Unlock()
+		if !cut {
+			next.ServeHTTP(w, r)
+			return
+		}
+		next.ServeHTTP(httptest.NewRecorder(), r)
+		if conn, _, err := w.(http.Hijacker).Hijack(); err == nil {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+		}
+	})
+}
+
+// member is the part of one control host.
+type member struct {
+	c *cluster
+	i int
+}
+
+var errLost = errors.New("leadership was lost")
+
+func (m *member) Propose(_ context.Context, command []byte) ([]byte, error) {
+	m.c.mu.Lock()
+	defer m.c.mu.Unlock()
+	if m.c.leader != m.i {
+		return nil, &controlapi.NotLeaderError{}
+	}
+	var reply []byte
+	for i, machine := range m.c.machines {
+		if r := machine.Apply(0, command); i == m.i {
+			reply = r
+		}
+	}
+	if m.c.lose > 0 {
+		m.c.lose--
+		m.c.leader = (m.c.leader + 1) % len(names)
+		return nil, errLost
+	}
+	return reply, nil
+}
+
+func (m *member) Read(context.Context) error {
+	m.c.mu.Lock()
+	defer m.c.mu.Unlock()
+	if m.c.leader != m.i {
+		return &controlapi.NotLeaderError{}
+	}
+	return nil
+}
+
+func (m *member) Leader() string {
+	m.c.mu.Lock()
+	defer m.c.mu.Unlock()
+	if m.c.leader < 0 {
+		return ""
+	}
+	return names[m.c.leader]
+}
+
+func (c *cluster) set(change func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	change()
+}
+
+// ctl runs one command line.
+func (c *cluster) ctl(line ...string) (code int, out, errText string) {
+	var stdout, stderr bytes.Buffer
+	code = Run(context.Background(), line, &stdout, &stderr)
+	return code, stdout.String(), stderr.String()
+}
+
+// as runs one command line of an operator against all control hosts.
+func (c *cluster) as(operator string, line ...string) (code int, out, errText string) {
+	line = append(line, "--operator", operator, "--key", filepath.Join(c.folder, operator+".key"))
+	for _, s := range c.servers {
+		line = append(line, "--control", s.Listener.Addr().String())
+	}
+	return c.ctl(line...)
+}
+
+// file writes the demo bundle with edits (old, new, old, new ...) and returns its name.
+func (c *cluster) file(name string, edits ...string) string {
+	text, err := os.ReadFile("../../examples/demo.toml")
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	edited := string(text)
+	for i := 0; i < len(edits); i += 2 {
+		if !strings.Contains(edited, edits[i]) {
+			c.t.Fatalf("%q is not in the demo bundle", edits[i])
+		}
+		edited = strings.Replace(edited, edits[i], edits[i+1], 1)
+	}
+	file := filepath.Join(c.folder, name)
+	if err := os.WriteFile(file, []byte(edited), 0o644); err != nil {
+		c.t.Fatal(err)
+	}
+	return file
+}
