--- a/internal/rollout/fetch.go
+++ b/internal/rollout/fetch.go
@@ -17,6 +17,9 @@
 // leader the peer address of the leader or an empty text.
 func ServeFetch(s *peer.Server, source Source, newest func() uint64, leader func() string) {
 	peer.Register(s, MethodFetch, func(_ context.Context, _ string, req FetchRequest) (FetchReply, error) {
+		if req.OnlyVersion {
+			return FetchReply{Version: newest(), Leader: leader()}, nil
+		}
 		answer, err := source.Since(req.Version, req.Root)
 		if err != nil {
 			return FetchReply{}, err
--- a/internal/rollout/messages.go
+++ b/internal/rollout/messages.go
@@ -29,6 +29,8 @@
 type FetchRequest struct {
 	Version uint64        `cbor:"1,keyasint"`
 	Root    bundle.Digest `cbor:"2,keyasint"`
+	// OnlyVersion asks for the version number without any content.
+	OnlyVersion bool `cbor:"3,keyasint,omitempty"`
 }
 
 // FetchReply holds deltas or a snapshot, each an encoded bundle.Signed.
--- a/internal/rollout/puller.go
+++ b/internal/rollout/puller.go
@@ -1,8 +1,10 @@
 package rollout
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +23,8 @@
 	// startTimeout bounds the questions at start-up. Hosts that do not answer
 	// within it count as out of reach.
 	startTimeout = time.Second
+	// startPause separates attempts at start-up while no peer has a version.
+	startPause = 100 * time.Millisecond
 )
 
 // Puller of an entry host asks zone peers and control hosts for newer versions.
@@ -35,29 +39,69 @@
 	Log          *log.Logger
 }
 
-// Start asks all zone peers and control hosts once and returns when each has
-// answered or is out of reach. It reports whether a version is in force; the
-// host must not serve before that.
+// Start asks all zone peers and control hosts for their versions, fetches the
+// newest and returns when each has answered or is out of reach. It reports
+// whether a version is in force; the host must not serve before that. It may be
+// called again until it does.
 func (p *Puller) Start(ctx context.Context) bool {
+	for _, a := range p.askVersions(ctx) {
+		if current := p.Holder.Current(); current != nil && current.Version >= a.version {
+			break
+		}
+		fetchCtx, cancel := context.WithTimeout(ctx, pullTimeout)
+		p.ask(fetchCtx, a.addr)
+		cancel()
+	}
+	if p.Holder.Current() != nil {
+		return true
+	}
+	select { // keeps a caller that tries again from doing so without a pause
+	case <-time.After(startPause):
+	case <-ctx.Done():
+	}
+	return p.Holder.Current() != nil
+}
+
+// versionAt is the version that a peer has.
+type versionAt struct {
+	addr    string
+	version uint64
+}
+
+// askVersions returns the versions of all peers that answer, newest first. Only
+// numbers are asked for, so that a large snapshot comes from one peer only.
+func (p *Puller) askVersions(ctx context.Context) []versionAt {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
+	var mu sync.Mutex
+	var all []versionAt
 	var wg sync.WaitGroup
 	for _, addr := range append(p.zonePeers(), p.controlPeers()...) {
-		wg.Go(func() { p.ask(ctx, addr) })
+		wg.Go(func() {
+			reply, err := peer.Call[FetchRequest, FetchReply](ctx, p.Client, addr, MethodFetch, FetchRequest{OnlyVersion: true})
+			if err != nil || reply.Version == 0 {
+				return
+			}
+			p.Reporter.SetLeader(reply.Leader)
+			mu.Lock()
+			defer mu.Unlock()
+			all = append(all, versionAt{addr, reply.Version})
+		})
 	}
 	wg.Wait()
-	return p.Holder.Current() != nil
+	slices.SortFunc(all, func(x, y versionAt) int { return cmp.Compare(y.version, x.version) })
+	return all
 }
 
 // Run pulls until ctx ends.
 func (p *Puller) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	wg.Go(func() { p.loop(ctx, zonePullInterval, p.zonePeers) })
-	wg.Go(func() { p.loop(ctx, controlPullInterval, p.controlPeers) })
+	wg.Go(func() { p.loop(ctx, zonePullInterval, p.zonePeers, func() {}) })
+	wg.Go(func() { p.loop(ctx, controlPullInterval, p.controlPeers, p.Reporter.Report) })
 	wg.Wait()
 }
 
-func (p *Puller) loop(ctx context.Context, interval time.Duration, peers func() []string) {
+func (p *Puller) loop(ctx context.Context, interval time.Duration, peers func() []string, after func()) {
 	// A random first wait spreads the questions of hosts that started together.
 	timer := time.NewTimer(rand.N(interval))
 	defer timer.Stop()
@@ -72,7 +116,7 @@
 			p.ask(ask, addrs[rand.IntN(len(addrs))])
 			cancel()
 		}
-		p.Reporter.Report()
+		after()
 		timer.Reset(interval)
 	}
 }
