Retry submissions that wait for acknowledgements; test the control API

Cause: hornbeamctl gave up at once on a change of a zone's hosts that the zone acknowledges within seconds, and a starting entry host could not tell whether it had asked its peers. Change: not-ready answers are tried again until the timeout; Puller.Started; tests of forwarding, error codes and reads without a leader.

--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -147,9 +147,7 @@
 	switch remote.Code {
 	case controlapi.CodeBadRequest:
 		return nil, false, &exitError{ExitUsage, err}
-	case controlapi.CodeNotReady:
-		return nil, false, &exitError{ExitFailed, err}
-	case controlapi.CodeNoLeader:
+	case controlapi.CodeNoLeader, controlapi.CodeNotReady: // both pass by themselves within seconds, as a rule
 		return nil, false, err
 	}
 	return nil, true, err
--- a/internal/ctl/cluster_test.go
+++ b/internal/ctl/cluster_test.go
@@ -33,7 +33,7 @@
 	keys     map[string]ed25519.PublicKey
 	machines []*history.Machine
 	servers  []*httptest.Server
-	dists    []*rollout.Distributor
+	peers    []string // addresses for reports of hosts
 
 	mu     sync.Mutex
 	leader int // -1: none
@@ -73,17 +73,44 @@
 func (c *cluster) start(i int, members []settings.Member) {
 	quiet := log.New(io.Discard)
 	machine := history.New(c.keys)
-	distributor := rollout.NewDistributor(peer.NewServer(names[i]), peer.NewClient(names[i]), "127.0.0.1:1", func() bool { return false }, quiet)
+	server := peer.NewServer(names[i])
+	c.serve(server)
+	distributor := rollout.NewDistributor(server, peer.NewClient(names[i]), "127.0.0.1:1", func() bool { return false }, quiet)
 	api := &controlapi.API{Host: names[i], Members: members, Group: &member{c, i}, Machine: machine, Distributor: distributor,
 		Metrics: metrics.NewRegistry(), Log: quiet, Client: http.DefaultClient}
 	srv := khttp.NewServer(khttp.Timeout(0))
 	api.Register(srv)
-	c.machines, c.dists = append(c.machines, machine), append(c.dists, distributor)
+	c.machines = append(c.machines, machine)
 	c.servers[i].Config.Handler = c.cutting(srv)
 	c.servers[i].Start()
 	c.t.Cleanup(c.servers[i].Close)
 }
 
+// serve opens a port for reports of hosts.
+func (c *cluster) serve(server *peer.Server) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.peers = append(c.peers, l.Addr().String())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = server.Serve(ctx, l) }()
+	c.t.Cleanup(func() { cancel(); <-done })
+}
+
+// report tells all control hosts which version an entry host has in force.
+func (c *cluster) report(host string, version uint64) {
+	client := peer.NewClient(host)
+	defer client.Close()
+	for _, addr := range c.peers {
+		status := rollout.Status{Host: host, Version: version, Headroom: map[string]float64{"bookings": 0.25}}
+		if _, err := peer.Call[rollout.Status, struct{}](context.Background(), client, addr, rollout.MethodStatus, status); err != nil {
+			c.t.Fatal(err)
+		}
+	}
+}
+
 // cutting closes connections after the request was handled, as a lost response does.
 func (c *cluster) cutting(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- /dev/null
+++ b/internal/history/growth_test.go
@@ -0,0 +1,28 @@
+package history
+
+import (
+	"testing"
+
+	"github.com/hornbeamstack/hornbeamstack/pkg/bundle"
+)
+
+// BenchmarkSnapshotAfterYear measures a snapshot with the headers of a year at 1,200 versions a day.
+func BenchmarkSnapshotAfterYear(b *testing.B) {
+	const versions = 365 * 1200
+	ops := newOperators()
+	m := New(ops.public())
+	v1 := demo(b)
+	apply(b, m, ops.command(b, "ann", v1, nil))
+	for v := uint64(2); v <= versions; v++ {
+		h := m.headers[0]
+		h.Version = v
+		h.Previous, h.Root = bundle.Digest{byte(v), byte(v >> 8)}, bundle.Digest{byte(v), byte(v >> 8), 1}
+		m.headers = append(m.headers, h)
+	}
+	var data []byte
+	for b.Loop() {
+		data = m.Snapshot()
+	}
+	b.ReportMetric(float64(len(data)), "snapshot-bytes")
+	b.ReportMetric(float64(len(data))/versions, "bytes/version")
+}
--- a/internal/rollout/puller.go
+++ b/internal/rollout/puller.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -37,8 +38,14 @@
 	Client       *peer.Client
 	Reporter     *Reporter
 	Log          *log.Logger
+
+	started atomic.Bool
 }
 
+// Started reports whether Start has asked all peers and a version is in force;
+// an entry host is not ready before.
+func (p *Puller) Started() bool { return p.started.Load() }
+
 // Start asks all zone peers and control hosts for their versions, fetches the
 // newest and returns when each has answered or is out of reach. It reports
 // whether a version is in force; the host must not serve before that. It may be
@@ -53,13 +60,14 @@
 		cancel()
 	}
 	if p.Holder.Current() != nil {
+		p.started.Store(true)
 		return true
 	}
 	select { // keeps a caller that tries again from doing so without a pause
 	case <-time.After(startPause):
 	case <-ctx.Done():
 	}
-	return p.Holder.Current() != nil
+	return false
 }
 
 // versionAt is the version that a peer has.
