--- a/internal/history/growth_test.go
+++ b/internal/history/growth_test.go
@@ -14,10 +14,9 @@
 	v1 := demo(b)
 	apply(b, m, ops.command(b, "ann", v1, nil))
 	for v := uint64(2); v <= versions; v++ {
-		h := m.headers[0]
-		h.Version = v
-		h.Previous, h.Root = bundle.Digest{byte(v), byte(v >> 8)}, bundle.Digest{byte(v), byte(v >> 8), 1}
-		m.headers = append(m.headers, h)
+		h := m.headers.at(1)
+		h.Root = bundle.Digest{byte(v), byte(v >> 8), byte(v >> 16)}
+		m.headers.add(&h)
 	}
 	var data []byte
 	for b.Loop() {
--- a/internal/history/machine.go
+++ b/internal/history/machine.go
@@ -20,7 +20,7 @@
 	keys map[string]ed25519.PublicKey
 
 	mu        sync.RWMutex
-	headers   []bundle.Header // versions 1, 2, ... in order
+	headers   headers
 	recent    spread.Recent
 	voters    map[string]uint64 // zone to the version that last changed its entry hosts
 	listeners []Listener
@@ -68,12 +68,12 @@
 func (m *Machine) compare(h *bundle.Header) (Result, bool) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	last := uint64(len(m.headers))
+	last := m.headers.count()
 	switch {
 	case h.Version == 0:
 		return refused("version must be 1 or more"), true
 	case h.Version <= last:
-		own := m.headers[h.Version-1]
+		own := m.headers.at(h.Version)
 		if own.SameContent(h) {
 			return accepted(&own), true
 		}
@@ -82,8 +82,8 @@
 		return refused("version %d does not follow version %d", h.Version, last), true
 	case last == 0 && !h.Previous.IsZero():
 		return refused("previous root of version 1 must be zero"), true
-	case last > 0 && h.Previous != m.headers[last-1].Root:
-		own := m.headers[last-1]
+	case last > 0 && h.Previous != m.headers.at(last).Root:
+		own := m.headers.at(last)
 		return conflict(&own), true
 	}
 	return Result{}, false
@@ -107,7 +107,7 @@
 func (m *Machine) append(next *bundle.Version, signed bundle.Signed) {
 	m.mu.Lock()
 	m.noteVoters(next)
-	m.headers = append(m.headers, next.Header)
+	m.headers.add(&next.Header)
 	m.recent.Add(next, signed)
 	listeners := m.listeners
 	m.mu.Unlock()
--- a/internal/history/machine_test.go
+++ b/internal/history/machine_test.go
@@ -182,7 +182,10 @@
 		So(b.Snapshot(), ShouldResemble, a.Snapshot())
 		So(a.Current().Header.Version, ShouldBeGreaterThan, 50)
 		for v := uint64(2); v <= a.Current().Header.Version; v++ {
-			h, _ := a.Header(v)
+			h, _ := b.Header(v)
+			if err := h.Verify(ops.public()); err != nil {
+				t.Fatal(err) // guards against headers that lose their signature in a snapshot
+			}
 			before, _ := a.Header(v - 1)
 			if h.Previous != before.Root {
 				t.Fatalf("version %d does not follow version %d", v, v-1)
@@ -211,6 +214,14 @@
 			So(other.Restore(data), ShouldNotBeNil)
 			So(other.Current(), ShouldBeNil)
 		})
+		Convey("malformed headers are refused", func() {
+			for _, bad := range []headers{{packed: make([]byte, entryBytes+1)}, {packed: make([]byte, entryBytes)}} {
+				data, err := stateEncoding.Marshal(&state{Operators: bad.operators, Headers: bad.packed})
+				So(err, ShouldBeNil)
+				So(m.Restore(data), ShouldNotBeNil)
+				So(m.Current().Header.Version, ShouldEqual, 1)
+			}
+		})
 		Convey("an empty machine survives a snapshot", func() {
 			other := New(ops.public())
 			So(other.Restore(New(ops.public()).Snapshot()), ShouldBeNil)
--- a/internal/history/read.go
+++ b/internal/history/read.go
@@ -16,10 +16,10 @@
 func (m *Machine) Header(version uint64) (bundle.Header, bool) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	if version == 0 || version > uint64(len(m.headers)) {
+	if version == 0 || version > m.headers.count() {
 		return bundle.Header{}, false
 	}
-	return m.headers[version-1], true
+	return m.headers.at(version), true
 }
 
 // Headers returns up to limit headers, newest first, starting at version before-1;
@@ -27,13 +27,13 @@
 func (m *Machine) Headers(before uint64, limit int) []bundle.Header {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	end := uint64(len(m.headers))
+	end := m.headers.count()
 	if before > 0 && before-1 < end {
 		end = before - 1
 	}
 	var page []bundle.Header
 	for v := end; v > 0 && len(page) < limit; v-- {
-		page = append(page, m.headers[v-1])
+		page = append(page, m.headers.at(v))
 	}
 	return page
 }
--- a/internal/history/snapshot.go
+++ b/internal/history/snapshot.go
@@ -11,14 +11,15 @@
 
 // state is the encoded form of a machine.
 type state struct {
-	Headers []bundle.Header   `cbor:"1,keyasint"`
-	Bundle  []byte            `cbor:"2,keyasint"`
-	Deltas  []bundle.Signed   `cbor:"3,keyasint"`
-	Voters  map[string]uint64 `cbor:"4,keyasint"`
+	Operators []string          `cbor:"1,keyasint"`
+	Headers   []byte            `cbor:"2,keyasint"`
+	Bundle    []byte            `cbor:"3,keyasint"`
+	Deltas    []bundle.Signed   `cbor:"4,keyasint"`
+	Voters    map[string]uint64 `cbor:"5,keyasint"`
 }
 
-// headerDecoding admits the headers of several years at 1,200 versions a day.
-var headerDecoding = func() cbor.DecMode {
+// stateDecoding admits all kept deltas.
+var stateDecoding = func() cbor.DecMode {
 	mode, err := cbor.DecOptions{MaxArrayElements: 4 << 20}.DecMode()
 	if err != nil {
 		panic(err)
@@ -39,7 +40,7 @@
 func (m *Machine) Snapshot() []byte {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	s := state{Headers: m.headers, Deltas: m.recent.Deltas(), Voters: m.voters}
+	s := state{Operators: m.headers.operators, Headers: m.headers.packed, Deltas: m.recent.Deltas(), Voters: m.voters}
 	if current := m.recent.Current(); current != nil {
 		data, err := bundle.EncodeSnapshot(current.Bundle)
 		if err != nil {
@@ -58,10 +59,14 @@
 // matches the last accepted root. On an error the state stays as it was.
 func (m *Machine) Restore(data []byte) error {
 	var s state
-	if err := headerDecoding.Unmarshal(data, &s); err != nil {
+	if err := stateDecoding.Unmarshal(data, &s); err != nil {
 		return fmt.Errorf("decode history snapshot: %w", err)
 	}
-	recent, err := s.recent()
+	all := headers{operators: s.Operators, packed: s.Headers}
+	if err := all.check(); err != nil {
+		return fmt.Errorf("history snapshot: %w", err)
+	}
+	recent, err := s.recent(&all)
 	if err != nil {
 		return err
 	}
@@ -69,7 +74,7 @@
 		s.Voters = map[string]uint64{}
 	}
 	m.mu.Lock()
-	m.headers, m.recent, m.voters = s.Headers, *recent, s.Voters
+	m.headers, m.recent, m.voters = all, *recent, s.Voters
 	listeners, current := m.listeners, m.recent.Current()
 	m.mu.Unlock()
 	for _, tell := range listeners {
@@ -80,11 +85,11 @@
 	return nil
 }
 
-func (s *state) recent() (*spread.Recent, error) {
-	if len(s.Headers) == 0 {
+func (s *state) recent(all *headers) (*spread.Recent, error) {
+	if all.count() == 0 {
 		return &spread.Recent{}, nil
 	}
-	last := s.Headers[len(s.Headers)-1]
+	last := all.at(all.count())
 	b, err := bundle.DecodeSnapshot(s.Bundle)
 	if err != nil {
 		return nil, err
