--- a/pkg/wal/active.go
+++ b/pkg/wal/active.go
@@ -87,8 +87,8 @@
 			return fmt.Errorf("cut %s: %w", s.name, err)
 		}
 	}
-	if end < int64(len(segmentMagic)) {
-		if _, err := f.Write(segmentMagic[end:]); err != nil {
+	if end == 0 {
+		if _, err := f.Write(segmentMagic); err != nil {
 			return fmt.Errorf("write %s: %w", s.name, err)
 		}
 		s.size = int64(len(segmentMagic))
--- a/pkg/wal/open.go
+++ b/pkg/wal/open.go
@@ -138,6 +138,9 @@
 		return fmt.Errorf("read snapshot: %w", err)
 	}
 	p.found.Snapshot, err = decodeSnapshot(p.path(name), buf, index)
+	if err == nil && len(p.segments) == 0 {
+		return &CorruptError{File: p.path(name), Reason: "snapshot without a segment; segments are missing"}
+	}
 	p.found.SnapshotIndex = index
 	return err
 }
--- a/pkg/wal/replay.go
+++ b/pkg/wal/replay.go
@@ -9,7 +9,8 @@
 func (p *opening) readSegment(i int) error {
 	first, last := p.segments[i], i == len(p.segments)-1
 	name := segmentName(first)
-	if i == 0 {
+	// Only a snapshot removes segments, so without one the log starts at 1.
+	if i == 0 && p.found.Snapshot != nil {
 		p.log.next = first
 	}
 	if first != p.log.next {
--- a/pkg/wal/save.go
+++ b/pkg/wal/save.go
@@ -44,7 +44,12 @@
 // dropOldFiles removes what the newest snapshot covers. Segments leave oldest
 // first, each removal synced before the next: a truncation frame must not
 // vanish while an older segment still holds the records it removed.
+// Without a snapshot all segments stay: a log without snapshot must start with
+// its first frame.
 func (l *Log) dropOldFiles() error {
+	if l.snapshot == 0 {
+		return nil
+	}
 	for len(l.segments) > 1 && l.segments[0].maxIndex <= l.snapshot {
 		if err := l.remove(l.segments[0].name); err != nil {
 			return err
--- a/pkg/wal/segment.go
+++ b/pkg/wal/segment.go
@@ -43,8 +43,10 @@
 // for all others it is corruption.
 func scan(file string, data []byte, first uint64, last bool) ([]frame, int64, error) {
 	if !bytes.HasPrefix(data, segmentMagic) {
-		if last && len(data) < len(segmentMagic) && bytes.HasPrefix(segmentMagic, data) {
-			return nil, 0, nil // the crash happened while the file was created
+		// The header is synced before the first frame is written, so a file
+		// without room for a frame may be one whose creation was interrupted.
+		if last && len(data) <= len(segmentMagic) {
+			return nil, 0, nil
 		}
 		return nil, 0, &CorruptError{File: file, Reason: "segment header is damaged or of an unknown format"}
 	}
