--- /dev/null
+++ b/pkg/zonelease/cases_test.go
@@ -0,0 +1,137 @@
+package zonelease
+
+import (
+	"testing"
+	"time"
+)
+
+// failoverLimit is the design's bound of a failover (about 2.5 s).
+const failoverLimit = 2500 * time.Millisecond
+
+// handOverLimit is the delay of the last of five candidates and two ticks: a
+// release must not leave anybody waiting for the old lease.
+const handOverLimit = 5*rankDelay + 20*time.Millisecond
+
+// Guards against zones that stay without a coordinator after a fault, and
+// against a planned stop that waits for the lease to end.
+func TestFailover(t *testing.T) {
+	cases := []struct {
+		name  string
+		fault func(n *network, holder *node)
+		limit time.Duration
+	}{
+		{"holder killed", func(n *network, d *node) { d.dead = true }, failoverLimit},
+		{"holder frozen", func(n *network, d *node) { d.frozen = true }, failoverLimit},
+		{"holder restarted", func(n *network, d *node) { n.restart(d) }, failoverLimit},
+		{"holder leaves the voter list", func(n *network, d *node) {
+			n.lists = append(n.lists, without(n.lists[0], d.host))
+			for _, o := range n.nodes {
+				o.version = 1
+			}
+		}, RenewInterval + handOverLimit}, // the holder leaves the list before its next tick
+		{"holder and one voter killed", func(n *network, d *node) {
+			d.dead = true
+			for _, o := range n.nodes {
+				if o != d {
+					o.dead = true
+					return
+				}
+			}
+		}, failoverLimit},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			n := newNetwork([]string{"a", "b", "c", "d", "e"}, 1)
+			n.settle(10*time.Second, func() bool { return len(n.holders()) == 1 })
+			first := n.nodes[n.holders()[0]]
+			self := first.candidate.Self()
+			c.fault(n, first)
+			other := func() bool {
+				all := n.holders()
+				return len(all) > 0 && n.nodes[all[0]].candidate.Self() != self
+			}
+			if took := n.settle(10*time.Second, other); took > c.limit {
+				t.Fatalf("no other coordinator for %v of simulated time, limit %v", took, c.limit)
+			}
+		})
+	}
+}
+
+// Guards against a planned stop after which the others wait for the old lease.
+// The stop comes at any phase of the others' timers.
+func TestHandOver(t *testing.T) {
+	for phase := range 50 {
+		n := newNetwork([]string{"a", "b", "c"}, 1)
+		n.settle(10*time.Second, func() bool { return len(n.holders()) == 1 })
+		first := n.nodes[n.holders()[0]]
+		n.settle(time.Duration(phase)*10*time.Millisecond, func() bool { return false })
+		n.send(first, first.candidate.Release())
+		took := n.settle(10*time.Second, func() bool { return len(n.holders()) == 1 })
+		if took > handOverLimit {
+			t.Fatalf("stop at phase %d: no coordinator for %v, limit %v", phase, took, handOverLimit)
+		}
+	}
+}
+
+func without(list []string, host string) []string {
+	var rest []string
+	for _, h := range list {
+		if h != host {
+			rest = append(rest, h)
+		}
+	}
+	return rest
+}
+
+// Guards against terms that fall when all voters of a zone restart at once and
+// have forgotten the earlier ones.
+func TestTermsRiseWhenTheZoneRestarts(t *testing.T) {
+	n := newNetwork([]string{"a", "b", "c"}, 1)
+	n.settle(10*time.Second, func() bool { return len(n.holders()) == 1 })
+	before := n.nodes[n.holders()[0]].candidate.Term()
+	for _, d := range n.nodes {
+		n.restart(d)
+		d.offset = 5 * time.Second // no clock behind those of the earlier processes
+	}
+	n.settle(10*time.Second, func() bool { return len(n.holders()) == 1 })
+	if after := n.nodes[n.holders()[0]].candidate.Term(); after <= before {
+		t.Fatalf("term %d follows %d", after, before)
+	}
+}
+
+// Guards against a late renewal that promises a voter to a coordinator that has
+// already released its lease.
+func TestReleaseOvertakesRenewal(t *testing.T) {
+	start := time.Unix(1000, 0)
+	v := NewVoter(start)
+	now := start.Add(LeaseDuration)
+	v.Handle(now, Request{Candidate: "a/1", Term: 7, Release: true})
+	if v.Handle(now, Request{Candidate: "a/1", Term: 7, Round: 3}).Granted {
+		t.Fatal("the overtaken renewal was granted")
+	}
+	if !v.Handle(now, Request{Candidate: "b/1", Term: 8, Round: 1}).Granted {
+		t.Fatal("the next candidate was refused")
+	}
+}
+
+// Guards against a lease that holds while the coordinator cannot reach a
+// majority: an isolated host must stop, and must not disturb the zone later.
+func TestIsolatedHolder(t *testing.T) {
+	n := newNetwork([]string{"a", "b", "c"}, 1)
+	n.settle(10*time.Second, func() bool { return len(n.holders()) == 1 })
+	first := n.nodes[n.holders()[0]]
+	for range 100 { // ticks on, but all its messages are lost
+		n.now += 30 * time.Millisecond
+		n.tick(first)
+		n.inFlight = nil
+	}
+	if first.candidate.Holds(n.clock(first)) {
+		t.Fatal("an isolated host still holds the lease")
+	}
+	n.settle(10*time.Second, func() bool { return len(n.holders()) == 1 })
+	second := n.holders()[0]
+	n.settle(3*time.Second, func() bool { return len(n.holders()) != 1 || n.holders()[0] != second })
+	if all := n.holders(); len(all) != 1 || all[0] != second {
+		t.Fatalf("holders are %v, want %s to stay", all, second)
+	}
+}
--- /dev/null
+++ b/pkg/zonelease/late_test.go
@@ -0,0 +1,146 @@
+package zonelease
+
+import (
+	"testing"
+	"time"
+)
+
+// late is a network whose holder, a, was cut off right after its last renewal was
+// granted; the replies to it are still on the way.
+func late(speeds map[string]float64) (n *network, first *node, replies []message) {
+	n = newNetwork([]string{"a", "b", "c"}, 1)
+	for h, speed := range speeds {
+		n.nodes[h].speed = speed
+	}
+	first = n.nodes["a"]
+	for !first.candidate.Holds(n.clock(first)) {
+		n.now += 10 * time.Millisecond
+		n.tick(first)
+		for len(n.inFlight) > 0 {
+			n.deliver(0, false)
+		}
+	}
+	for len(n.inFlight) == 0 { // until its next renewal
+		n.now += 10 * time.Millisecond
+		n.tick(first)
+	}
+	for range n.lists[0] {
+		n.deliver(0, false)
+	}
+	replies, n.inFlight = n.inFlight, nil
+	return n, first, replies
+}
+
+// runWithout lets the other hosts go on and checks exclusion at every step.
+func runWithout(t *testing.T, n *network, first *node, steps int) {
+	t.Helper()
+	for range steps {
+		n.now += 10 * time.Millisecond
+		for _, h := range n.sorted() {
+			if h != first.host {
+				n.tick(n.nodes[h])
+			}
+		}
+		for i := 0; i < len(n.inFlight); {
+			if n.inFlight[i].to == first.host {
+				i++ // cut off
+				continue
+			}
+			n.deliver(i, false)
+		}
+		if all := n.holders(); len(all) > 1 {
+			t.Fatalf("at %v both %v hold the lease", n.now, all)
+		}
+	}
+	if len(n.holders()) == 0 {
+		t.Fatal("no other host was elected, so exclusion was not tested")
+	}
+}
+
+// Guards against a lease counted from the arrival of the replies, and against
+// clocks of different speed that outlast the promises of the voters.
+func TestLateReplies(t *testing.T) {
+	cases := []struct {
+		name   string
+		delay  time.Duration
+		speeds map[string]float64
+	}{
+		{"replies in time", 0, nil},
+		{"replies 1.7 s late", 1700 * time.Millisecond, nil},
+		{"slow clock at the holder", 0, map[string]float64{"a": 0.96, "b": 1.04, "c": 1.04}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			n, first, replies := late(c.speeds)
+			n.now += c.delay
+			for _, m := range replies {
+				first.candidate.Handle(n.clock(first), m.from, m.request.Round, *m.reply)
+			}
+			rival(t, n, first)
+		})
+	}
+}
+
+// rival asks the other voters, a majority, until both have granted at the
+// earliest possible moment; the holder's lease must have ended by then.
+func rival(t *testing.T, n *network, first *node) {
+	t.Helper()
+	granted := map[string]bool{}
+	for len(granted) < 2 {
+		n.now += 10 * time.Millisecond
+		for _, h := range n.sorted() {
+			if h == first.host || granted[h] {
+				continue
+			}
+			r := Request{Candidate: "x/1", Term: first.candidate.Term() + 1}
+			granted[h] = n.nodes[h].voter.Handle(n.clock(n.nodes[h]), r).Granted
+			if !granted[h] {
+				delete(granted, h)
+			}
+		}
+	}
+	if first.candidate.Holds(n.clock(first)) {
+		t.Fatalf("at %v a rival has a majority while %s still holds the lease", n.now, first.host)
+	}
+}
+
+// Guards against grants that arrive after the candidate gave its votes back,
+// at the end of an election or at a planned stop.
+func TestGrantsAfterGivingBack(t *testing.T) {
+	cases := []struct {
+		name string
+		give func(n *network, d *node)
+	}{
+		{"planned stop", func(n *network, d *node) { n.send(d, d.candidate.Release()) }},
+		{"step down", func(n *network, d *node) { n.send(d, d.candidate.StepDown(n.clock(d))) }},
+		{"election timed out", func(n *network, d *node) {
+			n.now += electionTimeout
+			n.tick(d)
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			n := newNetwork([]string{"a", "b", "c"}, 1)
+			n.now = LeaseDuration + time.Second
+			first := n.nodes["a"]
+			n.tick(first)
+			for range n.lists[0] {
+				n.deliver(0, false)
+			}
+			replies := n.inFlight
+			n.inFlight = nil
+			c.give(n, first)
+			for range n.lists[0] {
+				n.deliver(0, false)
+			}
+			n.inFlight = nil
+			for _, m := range replies {
+				first.candidate.Handle(n.clock(first), m.from, m.request.Round, *m.reply)
+			}
+			if first.candidate.Holds(n.clock(first)) {
+				t.Fatal("the candidate holds a lease that it has given back")
+			}
+			runWithout(t, n, first, 100)
+		})
+	}
+}
