--- a/cmd/hornbeam-measure/main.go
+++ b/cmd/hornbeam-measure/main.go
@@ -16,6 +16,7 @@
 
 type arguments struct {
 	Cases    []string `arg:"--case,separate" help:"run only these cases"`
+	Policy   string   `arg:"--policy" help:"run only this policy: current, random or least reported load"`
 	Out      string   `arg:"--out" help:"also write the table to this Markdown file"`
 	JSON     string   `arg:"--json" help:"also write the rows to this JSON file"`
 	Previous string   `arg:"--previous" help:"JSON rows of an earlier commit, measured on the same machine, to show beside"`
@@ -34,7 +35,7 @@
 }
 
 func run(ctx context.Context, args arguments) error {
-	rows, err := measure.Run(ctx, os.Stderr, args.Cases)
+	rows, err := measure.Run(ctx, os.Stderr, args.Cases, args.Policy)
 	if err != nil {
 		return err
 	}
--- a/internal/measure/run.go
+++ b/internal/measure/run.go
@@ -32,11 +32,11 @@
 	return all
 }
 
-// Run measures the named cases, or all, and returns their rows.
-func Run(ctx context.Context, progress io.Writer, names []string) ([]Row, error) {
+// Run measures the named cases, or all, under one policy, or all, and returns their rows.
+func Run(ctx context.Context, progress io.Writer, names []string, policy string) ([]Row, error) {
 	var rows []Row
 	for _, m := range measurements() {
-		if len(names) > 0 && !slices.Contains(names, m.name) {
+		if len(names) > 0 && !slices.Contains(names, m.name) || policy != "" && policy != m.policy {
 			continue
 		}
 		began := time.Now()
