--- /dev/null
+++ b/internal/claims/fault_test.go
@@ -0,0 +1,127 @@
+package claims
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/pkg/claim"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// TestFaults holds cases in which messages, logs or clocks fail during Begin.
+func TestFaults(t *testing.T) {
+	Convey("Given three stores and two entry hosts", t, func() {
+		c := startCluster(t, 3)
+		a, net := c.local("a")
+		b, _ := c.local("b")
+		ctx := testContext(t)
+		key := newKey()
+		// usable shows that no vote of the ended attempt is left.
+		usable := func() {
+			So(a.Drain(ctx), ShouldBeNil)
+			h, _, err := b.Begin(ctx, "bookings", key)
+			So(err, ShouldBeNil)
+			h.Unknown()
+		}
+
+		Convey("votes whose grants were lost are withdrawn", func() {
+			net.after = func(store string) error {
+				if store != "control-0" {
+					return errLost
+				}
+				return nil
+			}
+			_, _, err := a.Begin(ctx, "bookings", key)
+			So(outcome(err), ShouldEqual, "not-run claim-no-quorum")
+			usable()
+		})
+		Convey("a vote request that arrives after its withdrawal leaves no vote", func() {
+			hold, late := make(chan struct{}), make(chan struct{}, 3)
+			net.before = func(string) error { <-hold; return nil }
+			net.after = func(string) error { late <- struct{}{}; return nil }
+			short, stop := context.WithTimeout(ctx, time.Millisecond)
+			defer stop()
+			_, _, err := a.Begin(short, "bookings", key)
+			So(outcome(err), ShouldEqual, "not-run claim-no-quorum")
+			So(a.Drain(ctx), ShouldBeNil)
+			close(hold)
+			for range 3 {
+				<-late
+			}
+			usable()
+		})
+		Convey("an attempt that froze during Begin does not send", func() {
+			net.after = func(string) error { c.ahead.Store(int64(attemptLimit)); return nil }
+			_, _, err := a.Begin(ctx, "bookings", key)
+			So(outcome(err), ShouldEqual, "not-run claim-no-quorum")
+			usable()
+		})
+		Convey("a store whose log failed grants nothing until it has restarted", func() {
+			disk := c.nodes[0].log.(*memoryLog)
+			disk.mu.Lock()
+			disk.fail = errors.New("disk full")
+			disk.mu.Unlock()
+			k, _ := claim.ParseKey("bookings", key)
+			for range 2 { // the second request finds the vote in memory
+				_, err := c.nodes[0].service.vote(ctx, "", claim.VoteRequest{Key: k, Attempt: claim.Attempt{Host: "x"}})
+				So(err, ShouldNotBeNil)
+			}
+			disk.mu.Lock()
+			disk.fail = nil
+			disk.mu.Unlock()
+			_, err := c.nodes[0].service.vote(ctx, "", claim.VoteRequest{Key: k, Attempt: claim.Attempt{Host: "x"}})
+			So(err, ShouldNotBeNil)
+			c.restart(0, false)
+			So(c.nodes[0].service.Len(), ShouldEqual, 0)
+			usable()
+		})
+		Convey("a snapshot and the records after it restore the store", func() {
+			for i := range 10 {
+				h, _, err := a.Begin(ctx, "bookings", newKey())
+				So(err, ShouldBeNil)
+				h.Finish(answer("booked"))
+				So(a.Drain(ctx), ShouldBeNil)
+				if i == 5 {
+					So(c.nodes[0].service.saveSnapshot(), ShouldBeNil)
+				}
+			}
+			So(c.nodes[0].service.Len(), ShouldEqual, 10)
+			c.restart(0, false)
+			So(c.nodes[0].service.Len(), ShouldEqual, 10)
+			So(c.nodes[0].service.Ready(), ShouldBeTrue)
+		})
+		Convey("records past their lifetime are dropped and stay dropped", func() {
+			h, _, err := a.Begin(ctx, "bookings", key)
+			So(err, ShouldBeNil)
+			h.Finish(answer("booked"))
+			So(a.Drain(ctx), ShouldBeNil)
+			c.ahead.Store(int64(claim.Lifetime + 3*claim.Allowance))
+			So(c.nodes[0].service.forget(), ShouldBeNil)
+			So(c.nodes[0].service.Len(), ShouldEqual, 0)
+			c.ahead.Store(0)
+			c.restart(0, false)
+			So(c.nodes[0].service.Len(), ShouldEqual, 0)
+			k, _ := claim.ParseKey("bookings", key)
+			reply, err := c.nodes[0].service.vote(ctx, "", claim.VoteRequest{Key: k, Attempt: claim.Attempt{Host: "x"}})
+			So(err, ShouldBeNil)
+			So(reply.Verdict, ShouldEqual, claim.TooOld)
+		})
+	})
+}
+
+// TestBacklog guards against memory that grows while a store is away.
+func TestBacklog(t *testing.T) {
+	Convey("A backlog drops the oldest reports beyond its size", t, func() {
+		r := newReports()
+		r.open = 5
+		b := &backlog{reports: r, running: true}
+		for range 5 {
+			b.add(report{size: backlogBytes / 4})
+		}
+		So(len(b.queue), ShouldEqual, 4)
+		So(r.dropped, ShouldEqual, 1)
+		So(r.open, ShouldEqual, 4)
+	})
+}
--- a/internal/claims/held.go
+++ b/internal/claims/held.go
@@ -25,7 +25,7 @@
 	h := &Held{client: c, key: k, attempt: a, stores: stores}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.renew = time.AfterFunc(claim.RenewInterval, h.renewOnce)
+	h.renew = time.AfterFunc(claim.RenewInterval, func() { h.renewOnce() })
 	return h
 }
 
@@ -75,15 +75,16 @@
 	return true
 }
 
-// renewOnce tells the stores that the owner is at work, and arms the next renewal.
-func (h *Held) renewOnce() {
+// renewOnce tells the stores that the owner is at work, and arms the next
+// renewal. The group ends when all stores have answered or failed.
+func (h *Held) renewOnce() *sync.WaitGroup {
+	var wg sync.WaitGroup
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.ended {
-		return
+		return &wg
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), claim.RenewInterval)
-	var wg sync.WaitGroup
 	for _, s := range h.stores {
 		wg.Go(func() {
 			// A lost renewal is made up for by the next one.
@@ -92,4 +93,5 @@
 	}
 	go func() { wg.Wait(); cancel() }()
 	h.renew.Reset(claim.RenewInterval)
+	return &wg
 }
--- a/internal/claims/transport.go
+++ b/internal/claims/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/hornbeamstack/hornbeamstack/internal/peer"
 	"github.com/hornbeamstack/hornbeamstack/pkg/claim"
@@ -18,7 +19,17 @@
 // peerTransport is the transport between processes.
 type peerTransport struct{ c *peer.Client }
 
+// vote asks a second time if the connection turns out to be lost, as it is
+// after a restart of the store. A repeated vote request gets the same reply.
 func (t peerTransport) vote(ctx context.Context, to Store, req claim.VoteRequest) (claim.VoteReply, error) {
+	reply, err := t.voteOnce(ctx, to, req)
+	if errors.Is(err, peer.ErrConnectionLost) && ctx.Err() == nil {
+		reply, err = t.voteOnce(ctx, to, req)
+	}
+	return reply, err
+}
+
+func (t peerTransport) voteOnce(ctx context.Context, to Store, req claim.VoteRequest) (claim.VoteReply, error) {
 	return peer.Call[claim.VoteRequest, claim.VoteReply](ctx, t.c, to.Peer, "claim.vote", req)
 }
 
