--- a/internal/claims/begin_test.go
+++ b/internal/claims/begin_test.go
@@ -98,6 +98,7 @@
 			h, _, err := a.Begin(ctx, "bookings", key)
 			So(err, ShouldBeNil)
 			defer h.Unknown()
+			h.renew.Stop()
 			c.awaitRecords(1) // a vote that is still on its way would count as recent
 			c.ahead.Store(int64(claim.RecentLimit))
 			_, _, err = b.Begin(ctx, "bookings", key)
