Measure links, entry hop, look-ups, drain and loss of targets

Cause: the table of targets had rows without a measurement. Change: cases links (bytes acknowledged by TCP, in 5 ms samples), hop, drain and loss in hornbeam-measure.

--- /dev/null
+++ b/internal/measure/bundle.go
@@ -0,0 +1,16 @@
+package measure
+
+import (
+	"os"
+
+	"github.com/hornbeamstack/hornbeamstack/pkg/bundle"
+)
+
+func readBundle(file string) (*bundle.Bundle, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	b, found := bundle.Parse(file, text)
+	return b, found.Err()
+}
--- /dev/null
+++ b/internal/measure/drain.go
@@ -0,0 +1,106 @@
+package measure
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/cluster"
+	"github.com/hornbeamstack/hornbeamstack/internal/standin"
+	"github.com/hornbeamstack/hornbeamstack/pkg/bundle"
+)
+
+const (
+	drainPart = 0.4 // of capacity
+	// The download outlasts every timeout in the bundle and the settings.
+	downloadRate  = 64 << 10 // bytes per second
+	downloadBytes = 12 * downloadRate
+)
+
+// drainCase drains a zone under load while a long download from it is in flight.
+func drainCase(ctx context.Context, s shape, policy string) ([]Row, error) {
+	b, err := startBench(ctx, s, policy, func(o *cluster.Options) {
+		o.Target = func(c *standin.Config) { c.Rate = downloadRate }
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer b.stop()
+	zone := b.Bundle.Zones[0]
+	capacity := float64(b.slots(s.service)) / meanWork.Seconds()
+	l := load{service: s.service, entries: b.entries(), rate: capacity * drainPart, work: meanWork, method: http.MethodPost,
+		duration: 10 * time.Second, seed: 5, path: "/work", headers: map[string]string{"Hornbeam-Timeout-Ms": "5000"}}
+	download := make(chan error, 1)
+	go func() { download <- b.download(ctx, b.entryIn(zone.Name), s.export) }()
+	result := make(chan *tally, 1)
+	go func() { result <- l.run(ctx, b.client) }()
+	time.Sleep(3 * time.Second)
+	next := b.Next()
+	next.Drains = append(slices.Clone(next.Drains), bundle.Drain{Kind: bundle.DrainZone, Name: zone.Name})
+	decided := time.Now()
+	if err := b.Submit(ctx, next); err != nil {
+		return nil, err
+	}
+	t := <-result
+	var last time.Duration
+	for _, target := range b.Targets {
+		if inZone(zone, target.Address()) && target.Service() == s.service {
+			last = max(last, target.Stats().LastReceived.Sub(decided))
+		}
+	}
+	whole := <-download
+	row := func(figure, value, target string, met bool) Row {
+		return Row{s.name, "drain of a zone", policy, figure, value, target, verdict(met)}
+	}
+	return []Row{
+		row("last new request after the decision", last.Round(time.Millisecond).String(), "at most 2s", last <= 2*time.Second),
+		row("requests without an answer", fmt.Sprintf("%d of %d", t.sent-t.done, t.sent), "0", t.sent == t.done),
+		row("12 s download from the drained zone", outcome(whole), "whole", whole == nil),
+	}, nil
+}
+
+func outcome(err error) string {
+	if err != nil {
+		return err.Error()
+	}
+	return "whole"
+}
+
+func (b *bench) entryIn(zone string) string {
+	for _, h := range b.Bundle.Hosts {
+		if h.Role == bundle.RoleEntry && h.AvailabilityZone == zone {
+			return h.HTTP
+		}
+	}
+	return ""
+}
+
+// inZone reports whether an address lies in the /24 of the zone's first target prefix.
+func inZone(z bundle.AvailabilityZone, address string) bool {
+	network, _, _ := strings.Cut(z.TargetPrefixes[0], "/")
+	return strings.HasPrefix(address, network[:strings.LastIndexByte(network, '.')+1])
+}
+
+// download fetches a long export and checks that it is whole.
+func (b *bench) download(ctx context.Context, entry, service string) error {
+	url := fmt.Sprintf("http://%s/s/%s/exports/tunes?work_ms=1&bytes=%d", entry, service, downloadBytes)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := (&http.Client{}).Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	n, err := io.Copy(io.Discard, resp.Body)
+	if err == nil && n != downloadBytes {
+		err = errors.New("clean but short")
+	}
+	return err
+}
--- /dev/null
+++ b/internal/measure/hop.go
@@ -0,0 +1,90 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"syscall"
+	"time"
+)
+
+const (
+	hopCalls     = 3000
+	lookupCalls  = 40_000
+	lookupStream = 16
+)
+
+// hopCase compares a request through an entry host with a direct call, in turn.
+func hopCase(ctx context.Context, s shape, policy string) ([]Row, error) {
+	b, err := startBench(ctx, s, policy, nil)
+	if err != nil {
+		return nil, err
+	}
+	defer b.stop()
+	direct := "http://" + b.Targets[0].Address() + "/hop?work_ms=0"
+	through := "http://" + b.entries()[0] + "/s/" + s.service + "/hop?work_ms=0"
+	var a, h []time.Duration
+	for range hopCalls {
+		a = append(a, b.timed(ctx, direct))
+		h = append(h, b.timed(ctx, through))
+	}
+	slices.Sort(a)
+	slices.Sort(h)
+	ratio := h[hopCalls/2].Seconds() / a[hopCalls/2].Seconds()
+	rows := []Row{{s.name, "entry hop", policy, "median / direct median", fmt.Sprintf("%.2f (%s / %s)", ratio, h[hopCalls/2], a[hopCalls/2]),
+		"at most 2", verdict(ratio <= 2)}}
+	perCore, err := b.lookupsPerCore(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return append(rows, Row{s.name, "look-ups", policy, "per second and core, caller and server in one process", fmt.Sprintf("%.0f", perCore), "", ""}), nil
+}
+
+func (b *bench) timed(ctx context.Context, url string) time.Duration {
+	began := time.Now()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return 0
+	}
+	resp, err := b.client.Do(req)
+	if err != nil {
+		return 0
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	return time.Since(began)
+}
+
+// lookupsPerCore sends look-ups over kept connections and divides by the processor time used.
+func (b *bench) lookupsPerCore(ctx context.Context) (float64, error) {
+	url := "http://" + b.entries()[0] + "/v1/lookup?service=" + b.shape.service
+	before, err := cpuTime()
+	if err != nil {
+		return 0, err
+	}
+	done := make(chan struct{})
+	for range lookupStream {
+		go func() {
+			for range lookupCalls / lookupStream {
+				b.timed(ctx, url)
+			}
+			done <- struct{}{}
+		}()
+	}
+	for range lookupStream {
+		<-done
+	}
+	after, err := cpuTime()
+	return lookupCalls / (after - before).Seconds(), err
+}
+
+// cpuTime returns the processor time that this process has used.
+func cpuTime() (time.Duration, error) {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0, err
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano()), nil
+}
--- a/internal/measure/run.go
+++ b/internal/measure/run.go
@@ -28,6 +28,11 @@
 				measurement{"busy", s, policy, func(ctx context.Context, s shape, p string) ([]Row, error) { return busyCase(ctx, s, p, 0.85) }},
 				measurement{"overload", s, policy, func(ctx context.Context, s shape, p string) ([]Row, error) { return busyCase(ctx, s, p, 2) }})
 		}
+		all = append(all,
+			measurement{"links", s, policyCurrent, linkCase},
+			measurement{"hop", s, policyCurrent, hopCase},
+			measurement{"drain", s, policyCurrent, drainCase},
+			measurement{"loss", s, policyCurrent, lossCase})
 	}
 	return all
 }
--- /dev/null
+++ b/internal/measure/wire.go
@@ -0,0 +1,123 @@
+package measure
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	sampleInterval = 5 * time.Millisecond
+	// capWindow is the time over which the cap of a link must hold.
+	capWindow = 100 * time.Millisecond
+)
+
+// wire counts the payload bytes that have crossed from targets to entry hosts:
+// bytes that the receiving TCP has acknowledged, whether read or still in its
+// receive buffer.
+type wire struct {
+	mu      sync.Mutex
+	conns   map[*net.TCPConn]uint64 // last count
+	closed  uint64                  // bytes of connections that are gone
+	samples []sample
+}
+
+type sample struct {
+	at    time.Time
+	bytes uint64
+}
+
+func newWire() *wire { return &wire{conns: map[*net.TCPConn]uint64{}} }
+
+// wrap watches the connections that a listener accepts.
+func (w *wire) wrap(l net.Listener) net.Listener { return &wireListener{l, w} }
+
+type wireListener struct {
+	net.Listener
+	wire *wire
+}
+
+func (l *wireListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if tcp, ok := c.(*net.TCPConn); ok {
+		l.wire.mu.Lock()
+		l.wire.conns[tcp] = 0
+		l.wire.mu.Unlock()
+	}
+	return c, err
+}
+
+// run samples until ctx ends.
+func (w *wire) run(ctx context.Context) {
+	t := time.NewTicker(sampleInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			w.sample()
+		}
+	}
+}
+
+func (w *wire) sample() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	sum := w.closed
+	for c, last := range w.conns {
+		acked, ok := bytesAcked(c)
+		if !ok {
+			w.closed += last
+			sum += last
+			delete(w.conns, c)
+			continue
+		}
+		w.conns[c] = acked
+		sum += acked
+	}
+	w.samples = append(w.samples, sample{time.Now(), sum})
+}
+
+func bytesAcked(c *net.TCPConn) (acked uint64, ok bool) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0, false
+	}
+	err = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err == nil {
+			acked, ok = info.Bytes_acked, true
+		}
+	})
+	return acked, ok && err == nil
+}
+
+// between returns the mean rate and the highest rate over capWindow, in bytes
+// per second, between two points of time.
+func (w *wire) between(from, to time.Time) (mean, peak float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var in []sample
+	for _, s := range w.samples {
+		if !s.at.Before(from) && !s.at.After(to) {
+			in = append(in, s)
+		}
+	}
+	if len(in) < 2 {
+		return 0, 0
+	}
+	first, last := in[0], in[len(in)-1]
+	mean = float64(last.bytes-first.bytes) / last.at.Sub(first.at).Seconds()
+	start := 0
+	for _, s := range in {
+		for s.at.Sub(in[start].at) > capWindow {
+			start++
+		}
+		peak = max(peak, float64(s.bytes-in[start].bytes)/capWindow.Seconds())
+	}
+	return mean, peak
+}
--- a/internal/standin/config.go
+++ b/internal/standin/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net"
 	"net/netip"
 	"time"
 )
@@ -22,6 +23,9 @@
 	IdleTimeout time.Duration // idle connections are closed after this time, DefaultIdleTimeout if 0
 	LeaveGrace  time.Duration // time for which a leaving target takes work, DefaultLeaveGrace if 0
 	Fault       Fault         // fault at the start
+
+	// Wrap, if set, wraps the listener, so that measurements can watch connections.
+	Wrap func(net.Listener) net.Listener
 }
 
 // Defaults of the target protocol.
--- a/internal/standin/stats.go
+++ b/internal/standin/stats.go
@@ -1,6 +1,9 @@
 package standin
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 // Stats are the counts that a target keeps.
 type Stats struct {
@@ -13,6 +16,7 @@
 	Cancelled     int            `json:"cancelled"`      // requests given up before the work ended
 	Runs          map[string]int `json:"runs"`           // work started, by idempotency key
 	UnkeyedRuns   int            `json:"unkeyed_runs"`   // work started without a key
+	LastReceived  time.Time      `json:"last_received"`  // when the last request was read
 	Announcements int            `json:"announcements"`  // announcements accepted by an entry host
 	AnnounceFails int            `json:"announce_fails"` // announcements that failed or were refused
 }
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -37,6 +37,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("stand-in target: %w", err)
 	}
+	if c.Wrap != nil {
+		listener = c.Wrap(listener)
+	}
 	t := &Target{config: c, address: listener.Addr().String(), counts: newCounts(), fault: c.Fault}
 	t.worker = newWorker(c.Slots, c.MeanWork, c.Seed)
 	t.announcer = newAnnouncer(t)
--- a/internal/standin/work.go
+++ b/internal/standin/work.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		panic(http.ErrAbortHandler) // the upload was cut
 	}
-	t.counts.add(func(s *Stats) { s.Received++ })
+	t.counts.add(func(s *Stats) { s.Received++; s.LastReceived = time.Now() })
 	if fault.Close {
 		panic(http.ErrAbortHandler)
 	}
