--- a/internal/zone/holder.go
+++ b/internal/zone/holder.go
@@ -109,7 +109,7 @@
 	for _, p := range reported {
 		out = append(out, slots.Held{
 			Number: p.Number, Service: p.Service, Target: p.Target,
-			Deadline: now.Add(milliseconds(p.RemainingMs)), Streaming: p.Streaming,
+			Until: now.Add(milliseconds(p.UntilMs)),
 		})
 	}
 	return out
--- a/internal/zone/message.go
+++ b/internal/zone/message.go
@@ -136,11 +136,10 @@
 }
 
 type heldPermit struct {
-	Number      uint64 `cbor:"1,keyasint"`
-	Service     string `cbor:"2,keyasint"`
-	Target      string `cbor:"3,keyasint"`
-	RemainingMs int64  `cbor:"4,keyasint,omitempty"`
-	Streaming   bool   `cbor:"5,keyasint,omitempty"`
+	Number  uint64 `cbor:"1,keyasint"`
+	Service string `cbor:"2,keyasint"`
+	Target  string `cbor:"3,keyasint"`
+	UntilMs int64  `cbor:"4,keyasint,omitempty"` // time until the target must have ended the work
 }
 
 type announceRequest struct {
--- a/internal/zone/permit.go
+++ b/internal/zone/permit.go
@@ -77,10 +77,7 @@
 	case slots.OutcomeFailed, slots.OutcomeAbandoned:
 		return now.Add(slots.AbandonGrace)
 	case slots.OutcomeUnconfirmed:
-		if p.streaming {
-			return now.Add(slots.StreamSilence)
-		}
-		return p.deadline
+		return later(now, p.deadline).Add(slots.StreamSilence)
 	}
 	return now
 }
@@ -88,23 +85,27 @@
 // report describes the permit to a new coordinator. The caller holds the
 // holder's mutex.
 func (p *Permit) report(now time.Time) heldPermit {
-	until := p.deadline
+	until := later(now, p.deadline).Add(slots.StreamSilence)
 	if p.ended {
 		until = p.keepUntil
 	}
 	return heldPermit{
 		Number: p.number, Service: p.service, Target: p.Target,
-		RemainingMs: max(until.Sub(now).Milliseconds(), 0), Streaming: p.streaming && !p.ended,
+		UntilMs: max(until.Sub(now).Milliseconds(), 0),
 	}
 }
 
-// lostAt returns when the coordinator may stop to count the permit. The caller
+// lostAt returns when a stream without an answered renewal must end. The caller
 // holds the holder's mutex.
 func (p *Permit) lostAt() time.Time {
-	if p.confirmed.IsZero() {
-		return p.deadline.Add(slots.DeadlineMargin / 2)
+	return later(p.deadline, p.confirmed).Add(slots.LostAfter)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
-	return p.confirmed.Add(lostAfter)
+	return b
 }
 
 func (p *Permit) lose() { p.loseOnce.Do(func() { close(p.lost) }) }
--- a/internal/zone/renew.go
+++ b/internal/zone/renew.go
@@ -10,27 +10,13 @@
 	"github.com/hornbeamstack/hornbeamstack/pkg/slots"
 )
 
-// renewTick is a little below slots.RenewInterval, so that a renewal that
-// waits for a tick is still in time.
-const renewTick = slots.RenewInterval * 9 / 10
-
-// renewStep renews streaming permits, ends those that may be lost and drops
-// ended ones whose grace period is over.
+// renewStep renews the streaming permits of all zones.
 func (z *Zone) renewStep(ctx context.Context) {
-	now := z.cfg.Now()
 	var zones []string
 	z.holder.mu.Lock()
-	for number, p := range z.holder.permits {
-		switch {
-		case p.ended && !now.Before(p.keepUntil):
-			delete(z.holder.permits, number)
-		case p.streaming && !p.ended:
-			if !now.Before(p.lostAt()) {
-				p.lose()
-			}
-			if !slices.Contains(zones, p.AvailabilityZone) {
-				zones = append(zones, p.AvailabilityZone)
-			}
+	for _, p := range z.holder.permits {
+		if p.streaming && !p.ended && !slices.Contains(zones, p.AvailabilityZone) {
+			zones = append(zones, p.AvailabilityZone)
 		}
 	}
 	z.holder.mu.Unlock()
@@ -39,6 +25,22 @@
 	}
 }
 
+// permitStep ends streams that may be lost and drops ended permits whose grace
+// period is over.
+func (z *Zone) permitStep(context.Context) {
+	now := z.cfg.Now()
+	z.holder.mu.Lock()
+	defer z.holder.mu.Unlock()
+	for number, p := range z.holder.permits {
+		switch {
+		case p.ended && !now.Before(p.keepUntil):
+			delete(z.holder.permits, number)
+		case p.streaming && !p.ended && !now.Before(p.lostAt()):
+			p.lose()
+		}
+	}
+}
+
 // renewZone renews the streaming permits of one zone.
 func (z *Zone) renewZone(ctx context.Context, zone string) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/zone/timing.go
+++ b/internal/zone/timing.go
@@ -1,6 +1,10 @@
 package zone
 
-import "time"
+import (
+	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/pkg/slots"
+)
 
 const (
 	leaseTick       = 20 * time.Millisecond
@@ -23,9 +27,11 @@
 	silentAfter = 2 * time.Second
 	// staleSummary is the age from which a zone's figures are unknown.
 	staleSummary = 3 * time.Second
-	// lostAfter ends a stream whose renewals stay unanswered, ahead of
-	// slots.StreamSilence, at which the coordinator gives its slot to others.
-	lostAfter = 40 * time.Second
+	// permitTick bounds how late a lost stream is ended.
+	permitTick = 100 * time.Millisecond
+	// renewTick is a little below slots.RenewInterval, so that a renewal that
+	// waits for a tick is still in time.
+	renewTick = slots.RenewInterval * 9 / 10
 	// releaseAttempts and releaseTimeout bound the delivery of a release; an
 	// undelivered one costs a slot until the deadline.
 	releaseAttempts = 4
--- a/internal/zone/zone.go
+++ b/internal/zone/zone.go
@@ -61,15 +61,19 @@
 // gives up the lease if it holds it.
 func (z *Zone) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
-	for interval, step := range map[time.Duration]func(context.Context){
-		leaseTick:       z.leaseStep,
-		poolTick:        z.poolStep,
-		beatInterval:    z.beatStep,
-		summaryInterval: z.summaryStep,
-		heldInterval:    z.recoveryStep,
-		renewTick:       z.renewStep,
+	for _, task := range []struct {
+		interval time.Duration
+		step     func(context.Context)
+	}{
+		{leaseTick, z.leaseStep},
+		{poolTick, z.poolStep},
+		{beatInterval, z.beatStep},
+		{summaryInterval, z.summaryStep},
+		{heldInterval, z.recoveryStep},
+		{renewTick, z.renewStep},
+		{permitTick, z.permitStep},
 	} {
-		g.Go(func() error { every(ctx, interval, step); return nil })
+		g.Go(func() error { every(ctx, task.interval, task.step); return nil })
 	}
 	err := g.Wait()
 	z.giveUp()
--- a/pkg/slots/acquire.go
+++ b/pkg/slots/acquire.go
@@ -50,7 +50,7 @@
 	if t.suspect() {
 		t.probeAt = now.Add(probeInterval)
 	}
-	p.permits[r.ID] = &permit{id: r.ID, target: t, expires: r.Deadline.Add(DeadlineMargin)}
+	p.permits[r.ID] = &permit{id: r.ID, target: t, expires: r.Deadline.Add(StreamSilence)}
 	return Grant{ID: r.ID, Target: t.address}
 }
 
--- a/pkg/slots/limits.go
+++ b/pkg/slots/limits.go
@@ -6,14 +6,16 @@
 	// AnnounceLifetime is how long an announcement, or a load figure, counts
 	// (targets renew each second).
 	AnnounceLifetime = 3 * time.Second
-	// DeadlineMargin covers clocks that differ between coordinator and target,
-	// and a target that ends its work late.
-	DeadlineMargin = time.Second
 	// AbandonGrace is how long a target may go on working after its connection closed.
 	AbandonGrace = time.Second
-	// StreamSilence is how long a streaming holder may stay silent. Targets close
-	// a connection that accepts no bytes for 30 s.
+	// StreamSilence is how long after its deadline or last renewal a silent
+	// holder's permit counts. It exceeds LostAfter, the 30 s after which targets
+	// close a connection that accepts no bytes, and AbandonGrace together.
 	StreamSilence = 45 * time.Second
+	// LostAfter is how long after the deadline a holder goes on streaming while
+	// its renewals stay unanswered. It may then freeze for almost 30 s and resume
+	// before the coordinator gives the slot away.
+	LostAfter = 12 * time.Second
 	// RenewInterval is the interval of renewals of streaming permits.
 	RenewInterval = time.Second
 	// failuresToSuspect is the number of consecutive failures that lowers a
--- a/pkg/slots/permit.go
+++ b/pkg/slots/permit.go
@@ -4,9 +4,8 @@
 
 // permit is a slot that may be in use.
 type permit struct {
-	id        ID
-	target    *target
-	expires   time.Time
-	streaming bool
-	released  bool // waits for the end of its grace period
+	id       ID
+	target   *target
+	expires  time.Time // the target must have ended the work by then
+	released bool      // waits for the end of its grace period
 }
--- a/pkg/slots/policy.go
+++ b/pkg/slots/policy.go
@@ -16,11 +16,12 @@
 	Drained        bool // the zone or its region is drained
 }
 
-// HoldLimit is how long a permit may be in use without any word from its holder.
+// HoldLimit is how long a permit may be in use without any word from its
+// holder: the response may start just before the deadline.
 func (p Policy) HoldLimit() time.Duration {
-	limit := StreamSilence
+	var longest time.Duration
 	for _, l := range p.Services {
-		limit = max(limit, l.Timeout+DeadlineMargin)
+		longest = max(longest, l.Timeout)
 	}
-	return limit
+	return longest + StreamSilence
 }
--- a/pkg/slots/recover.go
+++ b/pkg/slots/recover.go
@@ -46,12 +46,8 @@
 	if !ok {
 		t = p.add(held.Service, held.Target)
 	}
-	restored := &permit{id: id, target: t, streaming: held.Streaming, expires: held.Deadline.Add(DeadlineMargin)}
-	if held.Streaming {
-		restored.expires = now.Add(StreamSilence)
-	}
 	t.outstanding++
-	p.permits[id] = restored
+	p.permits[id] = &permit{id: id, target: t, expires: held.Until}
 }
 
 func (p *Pool) resume(now time.Time) {
--- a/pkg/slots/release.go
+++ b/pkg/slots/release.go
@@ -47,8 +47,8 @@
 		held, ok := p.permits[ID{Holder: h, Number: n}]
 		switch {
 		case ok && !held.released:
-			held.streaming = true
-			held.expires = now.Add(StreamSilence)
+			// Never earlier than before: an unanswered holder counts from its deadline.
+			held.expires = later(held.expires, now.Add(StreamSilence))
 		case !ok && pending:
 			deferred = true
 		case !ok:
@@ -79,6 +79,13 @@
 	p.decide(Decision{Grant: Grant{ID: id}, Err: busy(0)})
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/pkg/slots/request.go
+++ b/pkg/slots/request.go
@@ -11,7 +11,7 @@
 	ID       ID
 	Service  string
 	Class    traffic.Class
-	Deadline time.Time // the target must have ended its work, or started to answer, by then
+	Deadline time.Time // the target must have ended its work, or started to respond, by then
 	MaxWait  time.Duration
 	Exclude  []string // targets that must not be chosen
 }
@@ -30,9 +30,8 @@
 
 // Held is a permit that its holder reports to a new coordinator.
 type Held struct {
-	Number    uint64
-	Service   string
-	Target    string
-	Deadline  time.Time // unused while streaming
-	Streaming bool
+	Number  uint64
+	Service string
+	Target  string
+	Until   time.Time // the target must have ended the work by then
 }
--- a/spec/lease.pml
+++ b/spec/lease.pml
@@ -129,6 +129,15 @@
 active proctype steps() {
 	holder[0] = NONE; holder[1] = NONE; holder[2] = NONE;
 	do
+	:: atomic {
+		true; /* otherwise the first else would belong to the outer loop */
+		tick_voter(0); tick_voter(1); tick_voter(2);
+		tick_candidate(0); tick_candidate(1);
+		if
+		:: valid > 0 -> valid--
+		:: else
+		fi
+	   }
 	:: atomic { vote(0, 0) }
 	:: atomic { vote(1, 0) }
 	:: atomic { vote(2, 0) }
@@ -146,13 +155,5 @@
 	:: atomic { grant(0) }
 	:: atomic { grant(1) }
 	:: atomic { arrive() }
-	:: atomic {
-		tick_voter(0); tick_voter(1); tick_voter(2);
-		tick_candidate(0); tick_candidate(1);
-		if
-		:: valid > 0 -> valid--
-		:: else
-		fi
-	   }
 	od
 }
