--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -36,10 +36,7 @@
 }
 
 func newAttempt(x *exchange, p Permit) *attempt {
-	a := &attempt{x: x, permit: p, name: x.names.name(), upload: &upload{}}
-	if x.r.Body != http.NoBody && x.r.ContentLength != 0 {
-		a.upload.src = x.r.Body
-	}
+	a := &attempt{x: x, permit: p, name: x.names.name(), upload: &upload{body: x.body}}
 	ctx := x.ctx
 	if x.claim != nil {
 		// A claimed request that was sent goes on without its caller, so that
@@ -60,6 +57,7 @@
 	if !timer.Stop() && failure == nil {
 		// The timer cancelled the attempt as the header came in, so the body cannot be read.
 		response.Body.Close()
+		a.cancel(errDeadline) // the function of the timer may not have run yet
 		return nil, a.failed(errDeadline)
 	}
 	return response, failure
@@ -135,14 +133,14 @@
 
 // failed says what an error of RoundTrip means.
 func (a *attempt) failed(err error) *failure {
-	f := &failure{outcome: retry.Broken, err: err}
+	x, f := a.x, &failure{outcome: retry.Broken, err: err}
 	if a.conn != nil {
 		f.sent = a.conn.seal()
 	}
-	f.bodyRead, _ = a.upload.detach()
+	f.bodyRead = a.detach()
 	switch {
-	case a.upload.failed() != nil:
-		f.outcome, f.err = retry.CallerGone, fmt.Errorf("upload: %w", a.upload.failed())
+	case x.body != nil && x.body.failed() != nil:
+		f.outcome, f.err = retry.CallerGone, fmt.Errorf("upload: %w", x.body.failed())
 	case context.Cause(a.ctx) == errDeadline:
 		f.outcome, f.err = retry.TimedOut, errDeadline
 	case a.ctx.Err() != nil:
@@ -158,6 +156,12 @@
 	return f
 }
 
+// detach ends reading from the caller and reports whether a byte may have been read.
+func (a *attempt) detach() (read bool) {
+	a.upload.detach()
+	return a.x.body != nil && a.x.body.wasRead()
+}
+
 // accept checks that the response is one that can be passed on.
 func (a *attempt) accept(response *http.Response) (*http.Response, *failure) {
 	if a.strays.Load() {
@@ -184,6 +188,8 @@
 		return errors.New("the target switched protocols")
 	case echoed && (len(echo) != 1 || echo[0] != a.name):
 		return fmt.Errorf("the target answered attempt %.100q instead of %q", echo, a.name)
+	case a.conn.echoed(echoed):
+		return errors.New("the response does not name its attempt, as earlier ones on the connection did")
 	case response.ContentLength < 0 && len(response.TransferEncoding) == 0 && !bodyless(a.x.r.Method, response.StatusCode):
 		return errors.New("the response has neither Content-Length nor chunked encoding, so a cut would not show")
 	}
@@ -201,7 +207,7 @@
 	_, _ = io.CopyN(io.Discard, response.Body, maxShedBody)
 	response.Body.Close()
 	f := &failure{outcome: retry.Shed, sent: true, err: errors.New("the target shed the request")}
-	f.bodyRead, _ = a.upload.detach()
+	f.bodyRead = a.detach()
 	if seconds, err := strconv.ParseUint(response.Header.Get("Retry-After"), 10, 16); err == nil {
 		f.retryAfter = time.Duration(seconds) * time.Second
 	}
--- a/internal/entry/claiming.go
+++ b/internal/entry/claiming.go
@@ -55,6 +55,7 @@
 		return &Problem{Status: http.StatusGone, Code: CodeAnswerNotKept, Outcome: OutcomeDone,
 			Message: "the request ran and was answered with status " + http.StatusText(a.Status) + "; the body was too large to keep"}
 	}
+	x.body.skip(x.w)
 	h := x.w.Header()
 	for name, values := range a.Header {
 		h[name] = values
--- a/internal/entry/deliver.go
+++ b/internal/entry/deliver.go
@@ -75,6 +75,7 @@
 	}
 	keepContentType(h)
 	h[HeaderOutcome] = []string{OutcomeDone}
+	s.x.body.beforeResponse(s.x.w)
 	s.x.metrics.hop.Update(time.Since(s.x.arrived) - s.x.elsewhere)
 	s.x.w.WriteHeader(s.response.StatusCode)
 }
@@ -188,10 +189,8 @@
 func (s *stream) close() {
 	s.release(slots.OutcomeAbandoned)
 	s.response.Body.Close()
-	if _, reading := s.a.upload.detach(); reading {
-		// The target answered before the caller ended its upload.
-		_ = http.NewResponseController(s.x.w).SetReadDeadline(time.Now())
-	}
+	s.a.upload.detach()
+	s.x.body.afterResponse(s.x.w)
 }
 
 // abort resets the caller's connection. A plain close would look like the
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -18,6 +18,7 @@
 	call    call
 	w       http.ResponseWriter
 	r       *http.Request
+	body    *callerBody     // nil without a body
 	ctx     context.Context // ends when the caller is gone
 	span    trace.Span
 	arrived time.Time
--- a/internal/entry/fault_test.go
+++ b/internal/entry/fault_test.go
@@ -41,7 +41,7 @@
 		status: 502, code: CodeTargetFailed, outcome: OutcomeUnknown, received: 1, permits: []slots.Outcome{slots.OutcomeFailed}},
 	{name: "short response cut, keyed", method: "POST", keyed: true, fault: standin.Fault{Cut: true}, spare: true,
 		status: 502, code: CodeTargetFailed, outcome: OutcomeUnknown, received: 1, claim: "unknown", permits: []slots.Outcome{slots.OutcomeFailed}},
-	{name: "late, unkeyed", method: "POST", fault: standin.Fault{LateMs: 60_000}, timeout: "150", spare: true,
+	{name: "late, unkeyed", method: "POST", fault: standin.Fault{LateMs: 60_000, IgnoreCancel: true}, timeout: "150", spare: true,
 		status: 504, code: CodeDeadline, outcome: OutcomeUnknown, received: 1, permits: []slots.Outcome{slots.OutcomeAbandoned}},
 	{name: "late, repeatable", method: "GET", fault: standin.Fault{LateMs: 60_000, IgnoreCancel: true}, timeout: "150", spare: true,
 		status: 504, code: CodeDeadline, outcome: OutcomeUnknown, received: 1, permits: []slots.Outcome{slots.OutcomeAbandoned}},
--- a/internal/entry/forwarder.go
+++ b/internal/entry/forwarder.go
@@ -34,18 +34,21 @@
 	ctx, span := f.config.Tracing.Tracer.Start(ctx, "entry.request", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
 	c, problem := parseCall(r, f.config.Directory, f.config.Now())
-	if problem != nil {
-		f.fail(w, r, span, problem)
-		return
-	}
-	if r.Body != http.NoBody {
+	body := newCallerBody(r)
+	if body != nil {
 		// A target may answer before the upload ends; without this the server
 		// would read the rest of the upload first.
 		_ = http.NewResponseController(w).EnableFullDuplex()
 	}
+	if problem != nil {
+		body.skip(w)
+		f.fail(w, r, span, problem)
+		return
+	}
 	f.budgets.request(c.service.Name, f.config.Now())
-	x := &exchange{forwarder: f, call: c, w: w, r: r, ctx: ctx, span: span, arrived: f.config.Now()}
+	x := &exchange{forwarder: f, call: c, w: w, r: r, body: body, ctx: ctx, span: span, arrived: f.config.Now()}
 	if problem := x.run(); problem != nil {
+		body.skip(w)
 		f.fail(w, r, span, problem)
 	}
 }
--- a/internal/entry/host_test.go
+++ b/internal/entry/host_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -57,7 +58,7 @@
 		RepeatableMethods: []string{"GET", "HEAD", "PUT"}, BulkPrefixes: []string{"/export"}}
 	c := Config{Listener: l, Host: "cork-a-1", Permits: h.permits, Claims: h.claims, Links: h.links,
 		Lookups: fakeLookups{}, Targets: h.zone, Registry: metrics.NewRegistry(), Tracing: tracing,
-		Log: log.New(io.Discard), Retries: retry.Limits{Ratio: 0.1, Minimum: 1}}
+		Log: log.New(panicWatch{t}), Retries: retry.Limits{Ratio: 0.1, Minimum: 1}}
 	for _, o := range options {
 		o(&c, &service)
 	}
@@ -94,6 +95,16 @@
 	return target
 }
 
+// panicWatch fails the test when the HTTP server logs a panic of a handler or of its own.
+type panicWatch struct{ t testing.TB }
+
+func (p panicWatch) Write(line []byte) (int, error) {
+	if bytes.Contains(line, []byte("panic")) {
+		p.t.Errorf("%s", line)
+	}
+	return len(line), nil
+}
+
 // reply is what a caller got.
 type reply struct {
 	status  int
@@ -147,3 +158,15 @@
 	}
 	return out
 }
+
+// eventually polls until the condition holds.
+func eventually(t testing.TB, what string, condition func() bool) {
+	t.Helper()
+	for range 6000 {
+		if condition() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Errorf("never happened: %s", what)
+}
--- /dev/null
+++ b/internal/entry/raw_test.go
@@ -0,0 +1,47 @@
+package entry
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+)
+
+// rawTarget serves connections by hand. The function answers one request, with
+// its number on the connection, and returns whether to keep the connection.
+func rawTarget(t testing.TB, answer func(n int, conn net.Conn, r *http.Request) bool) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serveRaw(conn, answer)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func serveRaw(conn net.Conn, answer func(int, net.Conn, *http.Request) bool) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for n := 0; ; n++ {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		if !answer(n, conn, r) {
+			return
+		}
+	}
+}
--- a/internal/entry/target_conn.go
+++ b/internal/entry/target_conn.go
@@ -26,6 +26,7 @@
 	started  bool        // a byte of the current attempt was handed to the kernel
 	sealed   error       // set once no further byte may be sent
 	received int64       // bytes read since the connection was opened
+	echoes   bool        // the target named the attempt in an earlier response
 	mark     int64       // value of received when the current attempt began
 }
 
@@ -56,6 +57,16 @@
 	return !c.started || c.received == c.mark
 }
 
+// echoed records whether a response named its attempt. It reports whether a
+// response without a name is suspect, since the target named earlier ones.
+func (c *targetConn) echoed(named bool) (suspect bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	suspect = c.echoes && !named
+	c.echoes = c.echoes || named
+	return suspect
+}
+
 // allow decides on a write. The permit is checked at the last moment, because
 // a process may be frozen between the grant and the first byte.
 func (c *targetConn) allow() error {
