Test the transport to targets and the payment for links

Cause: net/http resends keyed requests without a body by itself; a wait for link share of a new connection had no end, as net/http goes on with a dial after its request has ended. Change: openingTimeout (5 s) bounds that wait. Tests of resends, void permits, idle connections, paid bytes and the receive buffer.

--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -146,6 +146,12 @@
 	return nil
 }
 
+func (l *fakeLinks) bytes(d traffic.Direction) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.paid[d]
+}
+
 // fakeDirectory knows one service, "bookings".
 type fakeDirectory struct{ service bundle.Service }
 
--- /dev/null
+++ b/internal/entry/transport_test.go
@@ -0,0 +1,181 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+	"unsafe"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/standin"
+	"github.com/hornbeamstack/hornbeamstack/pkg/bundle"
+	"github.com/hornbeamstack/hornbeamstack/pkg/slots"
+	"github.com/hornbeamstack/hornbeamstack/pkg/traffic"
+)
+
+// closingTarget answers GET requests and closes the connection after it has read a POST request.
+func closingTarget(t *testing.T) (string, *atomic.Int64) {
+	var posts atomic.Int64
+	address := rawTarget(t, func(_ int, conn net.Conn, r *http.Request) bool {
+		if r.Method == "POST" {
+			posts.Add(1)
+			return false
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		return true
+	})
+	return address, &posts
+}
+
+// A transport that sends a request again by itself runs a booking twice.
+func TestNoResend(t *testing.T) {
+	const requests = 100
+	Convey("100 bodyless keyed POSTs over reused connections are received 100 times", t, func() {
+		address, posts := closingTarget(t)
+		h := startHost(t, []string{address})
+		for range requests {
+			So(h.do("GET", "/s/bookings/x", "", "").status, ShouldEqual, 200)
+			got := h.do("POST", "/s/bookings/rooms", newKey(), "")
+			So(got.status, ShouldEqual, 502)
+			So(got.outcome, ShouldEqual, OutcomeUnknown)
+		}
+		So(posts.Load(), ShouldEqual, requests)
+	})
+	Convey("the same requests without the body reader are sent again by net/http", t, func() {
+		address, posts := closingTarget(t)
+		transport := newUpstream(nil).transportFor(bundle.Service{Connections: 10}, 1, "", traffic.Short)
+		client := &http.Client{Transport: transport}
+		for range requests {
+			resp, err := client.Get("http://" + address)
+			So(err, ShouldBeNil)
+			_, _ = io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+			req, _ := http.NewRequest("POST", "http://"+address, nil)
+			req.Header.Set(HeaderKey, newKey())
+			_, err = client.Do(req)
+			So(err, ShouldNotBeNil)
+		}
+		So(posts.Load(), ShouldBeGreaterThan, requests)
+	})
+}
+
+// A permit that ran out while the process was frozen must not lead to a byte at the target.
+func TestVoidPermit(t *testing.T) {
+	Convey("nothing is sent, and the request gets another permit", t, func() {
+		target := startTarget(t, standin.Config{})
+		h := startHost(t, []string{target.Address()})
+		h.permits.voids = 2
+		key := newKey()
+		got := h.do("POST", "/s/bookings/rooms", key, "")
+		So(got.status, ShouldEqual, 200)
+		So(h.freed(3), ShouldResemble, []slots.Outcome{slots.OutcomeUnsent, slots.OutcomeUnsent, slots.OutcomeDone})
+		So(target.Stats().Received, ShouldEqual, 1)
+	})
+}
+
+// Idle connections beyond a host's part would take connections that other hosts need.
+func TestIdleLimit(t *testing.T) {
+	Convey("idle connections stay within this host's part", t, func() {
+		So(idleLimit(850, 24, false), ShouldEqual, 35)
+		So(idleLimit(850, 24, true), ShouldEqual, 17)
+		So(idleLimit(10, 24, false), ShouldEqual, 0)
+		u := newUpstream(nil)
+		So(u.newTransport(transportKey{}, 0).DisableKeepAlives, ShouldBeTrue) // 0 would mean two
+		s := bundle.Service{Name: "bookings", Connections: 48}
+		first := u.transportFor(s, 24, "", traffic.Short)
+		So(first.MaxIdleConnsPerHost, ShouldEqual, 2)
+		So(u.transportFor(s, 24, "", traffic.Bulk), ShouldEqual, first)
+		s.Connections = 96
+		So(u.transportFor(s, 24, "", traffic.Short).MaxIdleConnsPerHost, ShouldEqual, 4)
+	})
+}
+
+// Bytes that were not paid for before they cross push a link past its cap.
+func TestLinkPayment(t *testing.T) {
+	Convey("Given targets in another region", t, func() {
+		target := startTarget(t, standin.Config{})
+		h := startHost(t, []string{target.Address()})
+		h.permits.region = "Leinster"
+		Convey("all bytes of both directions are paid, and the receive buffer once for a connection", func() {
+			const size = 300_000
+			for range 2 {
+				got := h.do("PUT", "/s/bookings/export?bytes=300000", "", string(pattern(size)))
+				So(len(got.body), ShouldEqual, size)
+			}
+			So(h.links.bytes(traffic.Outbound), ShouldBeBetween, 2*size, 2*size+10_000)
+			So(h.links.bytes(traffic.Inbound), ShouldBeBetween, 2*size+receiveCharge, 2*size+receiveCharge+10_000)
+		})
+		Convey("a link without share means that nothing is sent", func() {
+			h.links.limit = 1
+			got := h.do("POST", "/s/bookings/rooms", newKey(), "", HeaderTimeout, "100")
+			So(got.status, ShouldEqual, 504)
+			So(got.outcome, ShouldEqual, OutcomeNotRun)
+			So(h.freed(1), ShouldResemble, []slots.Outcome{slots.OutcomeUnsent})
+			So(target.Stats().Received, ShouldEqual, 0)
+		})
+		Convey("bytes that were not paid for stay at the target", func() {
+			h.links.limit = receiveCharge + 100_000
+			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+			defer cancel()
+			req, err := http.NewRequestWithContext(ctx, "GET", h.url+"/s/bookings/export?bytes=10000000&chunked=1", nil)
+			So(err, ShouldBeNil)
+			resp, err := h.client.Do(req)
+			So(err, ShouldBeNil)
+			got, err := io.ReadAll(io.LimitReader(resp.Body, 60_000))
+			So(err, ShouldBeNil)
+			So(len(got), ShouldEqual, 60_000)
+			cancel()
+			resp.Body.Close()
+			So(h.freed(1), ShouldResemble, []slots.Outcome{slots.OutcomeAbandoned})
+			So(h.links.bytes(traffic.Inbound), ShouldBeLessThanOrEqualTo, h.links.limit)
+		})
+	})
+	Convey("the kernel holds at most the paid receive buffer of a connection that nobody reads", t, func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		defer l.Close()
+		go func() {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			_, _ = conn.Write(make([]byte, 8<<20))
+		}()
+		dial := newUpstream(&fakeLinks{paid: map[traffic.Direction]int{}}).dialer(transportKey{region: "Leinster"})
+		conn, err := dial(context.Background(), "tcp", l.Addr().String())
+		So(err, ShouldBeNil)
+		defer conn.Close()
+		raw, err := conn.(*targetConn).Conn.(*net.TCPConn).SyscallConn()
+		So(err, ShouldBeNil)
+		var last int32
+		eventually(t, "the buffer is full", func() bool {
+			before := last
+			last = unread(t, raw)
+			return last > 0 && last == before
+		})
+		So(last, ShouldBeLessThanOrEqualTo, receiveCharge)
+	})
+}
+
+// unread returns the bytes in the receive buffer of a socket.
+func unread(t *testing.T, raw syscall.RawConn) (n int32) {
+	t.Helper()
+	err := raw.Control(func(fd uintptr) {
+		_, _, errno := syscall.Syscall(syscall.SYS_IOCTL, fd, syscall.TIOCINQ, uintptr(unsafe.Pointer(&n)))
+		if errno != 0 {
+			t.Error(errno)
+		}
+	})
+	if err != nil {
+		t.Error(err)
+	}
+	time.Sleep(20 * time.Millisecond)
+	return n
+}
--- a/internal/entry/upstream.go
+++ b/internal/entry/upstream.go
@@ -14,6 +14,10 @@
 
 const (
 	dialTimeout = time.Second // targets take about 1 ms to open a connection; a lost SYN is resent after 1 s
+	// openingTimeout bounds the wait for link share of a new connection. net/http
+	// goes on with a dial after its request has ended, so the request's deadline
+	// does not end this wait.
+	openingTimeout = 5 * time.Second
 	// idleTimeout is shorter than the 60 s that targets must keep idle
 	// connections open, so that a target does not close one as it is used.
 	idleTimeout = 20 * time.Second
@@ -109,7 +113,9 @@
 	d.Control = boundReceiveBuffer
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		t := newToll(u.links, key.region, key.class)
-		if err := t.payOpening(ctx); err != nil {
+		opening, cancel := context.WithTimeout(ctx, openingTimeout)
+		defer cancel()
+		if err := t.payOpening(opening); err != nil {
 			t.cancel()
 			return nil, err
 		}
