Test shutdown, routes, claim refusals and the retry budget

Cause: a planned stop must not cut an export, and refusals must be true. Change: time limits of callers' connections are part of the configuration, so that the shutdown test can make all of them shorter than its download.

--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -24,6 +24,7 @@
 	Targets   Targets
 	Ready     func() error // why the host cannot serve yet, or nil
 	Retries   retry.Limits // DefaultLimits if zero
+	Timeouts  Timeouts     // DefaultTimeouts if zero
 	Registry  metrics.Registry
 	Tracing   *telemetry.Tracing
 	Log       *log.Logger
@@ -41,6 +42,9 @@
 	if c.Retries == (retry.Limits{}) {
 		c.Retries = retry.DefaultLimits
 	}
+	if c.Timeouts == (Timeouts{}) {
+		c.Timeouts = DefaultTimeouts
+	}
 	if c.Now == nil {
 		c.Now = time.Now
 	}
--- a/internal/entry/host_test.go
+++ b/internal/entry/host_test.go
@@ -112,6 +112,7 @@
 	body    []byte
 	err     error // of the request or of reading the body
 	outcome string
+	closes  bool // the host closes the connection
 }
 
 func (h *testHost) do(method, path, key, body string, headers ...string) reply {
@@ -137,7 +138,7 @@
 		return reply{err: err}
 	}
 	defer resp.Body.Close()
-	r := reply{status: resp.StatusCode, header: resp.Header, outcome: resp.Header.Get(HeaderOutcome)}
+	r := reply{status: resp.StatusCode, header: resp.Header, outcome: resp.Header.Get(HeaderOutcome), closes: resp.Close}
 	r.body, r.err = io.ReadAll(resp.Body)
 	return r
 }
--- a/internal/entry/surface.go
+++ b/internal/entry/surface.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
-	"time"
 
 	"github.com/charmbracelet/log"
 	kratos "github.com/go-kratos/kratos/v2/transport/http"
@@ -15,12 +14,7 @@
 	"github.com/hornbeamstack/hornbeamstack/internal/telemetry"
 )
 
-const (
-	controlTimeout    = 2 * time.Second // look-ups and announcements
-	readHeaderTimeout = 10 * time.Second
-	callerIdleTimeout = 75 * time.Second
-	maxRequestHeader  = 64 << 10 // bytes; net/http adds 4 KB
-)
+const maxRequestHeader = 64 << 10 // bytes; net/http adds 4 KB
 
 // Surface is the HTTP server of an entry host.
 type Surface struct {
@@ -42,14 +36,14 @@
 	s.server = kratos.NewServer(
 		kratos.Listener(c.Listener),
 		kratos.Address(c.Listener.Addr().String()),
-		kratos.Timeout(controlTimeout),
+		kratos.Timeout(c.Timeouts.Control),
 		kratos.StrictSlash(false),
 		kratos.Filter(s.split),
 		kratos.NotFoundHandler(http.HandlerFunc(s.handleNotFound)),
 		kratos.MethodNotAllowedHandler(http.HandlerFunc(s.handleNotFound)),
 	)
-	s.server.ReadHeaderTimeout = readHeaderTimeout
-	s.server.IdleTimeout = callerIdleTimeout
+	s.server.ReadHeaderTimeout = c.Timeouts.ReadHeader
+	s.server.IdleTimeout = c.Timeouts.CallerIdle
 	s.server.MaxHeaderBytes = maxRequestHeader
 	s.server.ErrorLog = c.Log.StandardLog(log.StandardLogOptions{ForceLevel: log.ErrorLevel})
 	s.server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
--- /dev/null
+++ b/internal/entry/timeouts.go
@@ -0,0 +1,14 @@
+package entry
+
+import "time"
+
+// Timeouts of callers' connections. None of them concerns bodies on the request path.
+type Timeouts struct {
+	Control    time.Duration // look-ups and announcements
+	ReadHeader time.Duration // from the first byte of a request to the end of its header
+	CallerIdle time.Duration // idle connections of callers
+}
+
+// DefaultTimeouts allow for callers on slow links. Idle connections stay open
+// longer than the minute for which many HTTP clients keep theirs.
+var DefaultTimeouts = Timeouts{Control: 2 * time.Second, ReadHeader: 10 * time.Second, CallerIdle: 75 * time.Second}
