--- a/internal/entry/announcement.go
+++ b/internal/entry/announcement.go
@@ -1,10 +1,7 @@
 package entry
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"math"
@@ -97,16 +94,3 @@
 	}
 	return found.Err()
 }
-
-// decodeStrict refuses unknown fields and anything after the first JSON value.
-func decodeStrict(body []byte, v any) error {
-	d := json.NewDecoder(bytes.NewReader(body))
-	d.DisallowUnknownFields()
-	if err := d.Decode(v); err != nil {
-		return err
-	}
-	if _, err := d.Token(); !errors.Is(err, io.EOF) {
-		return errors.New("more than one JSON value")
-	}
-	return nil
-}
--- a/internal/entry/routes_test.go
+++ b/internal/entry/routes_test.go
@@ -32,6 +32,8 @@
 		{"look-up by POST", "POST", "/v1/lookup?service=bookings", "", 405, CodeMethodNotAllowed},
 		{"announcement", "POST", "/v1/targets", goodAnnouncement, 204, ""},
 		{"announcement with an unknown field", "POST", "/v1/targets", announcementWith(`"load"`, `"mood":1,"load"`), 400, CodeInvalidRequest},
+		{"announcement with a field given twice", "POST", "/v1/targets", announcementWith(`"load"`, `"slots":9,"load"`), 400, CodeInvalidRequest},
+		{"announcement with a field in another case", "POST", "/v1/targets", announcementWith(`"load"`, `"Slots":9,"load"`), 400, CodeInvalidRequest},
 		{"two announcements", "POST", "/v1/targets", goodAnnouncement + goodAnnouncement, 400, CodeInvalidRequest},
 		{"announcement that is too long", "POST", "/v1/targets", goodAnnouncement + strings.Repeat(" ", maxAnnouncement), 400, CodeInvalidRequest},
 		{"announcement without slots", "POST", "/v1/targets", announcementWith(`"slots":4`, `"slots":0`), 400, CodeInvalidRequest},
