--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -20,7 +20,9 @@
 	counts    *counts
 	worker    *worker
 	announcer *announcer
-	stop      context.CancelFunc
+	stop      context.CancelFunc // ends the announcements
+	life      context.Context    // ends all work
+	end       context.CancelFunc
 	ended     sync.WaitGroup
 
 	mu    sync.Mutex
@@ -47,6 +49,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.stop = cancel
+	t.life, t.end = context.WithCancel(context.Background())
 	t.ended.Go(func() { _ = t.server.Serve(listener) })
 	t.ended.Go(func() { t.announcer.run(ctx) })
 	return t, nil
@@ -100,6 +103,7 @@
 	if err != nil {
 		t.server.Close()
 	}
+	t.end()
 	t.ended.Wait()
 	return err
 }
@@ -107,6 +111,7 @@
 // Kill closes all connections at once and announces nothing, as a crash would.
 func (t *Target) Kill() {
 	t.stop()
+	t.end()
 	t.server.Close()
 	t.ended.Wait()
 }
--- a/internal/standin/work.go
+++ b/internal/standin/work.go
@@ -51,7 +51,7 @@
 		http.Error(w, "shed", http.StatusServiceUnavailable)
 		return
 	}
-	ctx, cancel := workContext(r, fault)
+	ctx, cancel := t.workContext(r, fault)
 	defer cancel()
 	receipt := Receipt{Target: t.address, Method: r.Method, Path: r.URL.Path, Query: r.URL.RawQuery,
 		Key: r.Header.Get(headerKey), BodyBytes: size, BodySHA: hex.EncodeToString(digest.Sum(nil))}
@@ -72,9 +72,9 @@
 }
 
 // workContext ends at the caller's cancellation and at the deadline, unless the fault ignores both.
-func workContext(r *http.Request, fault Fault) (context.Context, context.CancelFunc) {
+func (t *Target) workContext(r *http.Request, fault Fault) (context.Context, context.CancelFunc) {
 	if fault.IgnoreCancel {
-		return context.WithCancel(context.WithoutCancel(r.Context()))
+		return context.WithCancel(t.life)
 	}
 	ms, err := strconv.ParseInt(r.Header.Get(headerDeadline), 10, 64)
 	if err != nil {
@@ -92,7 +92,7 @@
 
 // giveUp ends work that was cancelled or passed its deadline.
 func (t *Target) giveUp(w http.ResponseWriter, r *http.Request) {
-	if r.Context().Err() != nil {
+	if r.Context().Err() != nil || t.life.Err() != nil {
 		panic(http.ErrAbortHandler)
 	}
 	http.Error(w, "deadline passed", http.StatusGatewayTimeout)
