--- a/internal/controlapi/api_test.go
+++ b/internal/controlapi/api_test.go
@@ -165,6 +165,14 @@
 		status, answer := request(http.MethodGet, a.URL+PathBundles+"/"+CurrentVersion, nil)
 		So(status, ShouldEqual, http.StatusNotFound)
 		So(code(answer), ShouldEqual, CodeNotFound)
+		// A host that was just started has an empty state and knows no leader.
+		g.readErr = errors.New("no quorum")
+		for _, version := range []string{CurrentVersion, "1"} {
+			status, answer = request(http.MethodGet, a.URL+PathBundles+"/"+version, nil)
+			So(status, ShouldEqual, http.StatusServiceUnavailable)
+			So(code(answer), ShouldEqual, CodeNoLeader)
+		}
+		g.readErr = nil
 		_, _ = request(http.MethodPost, a.URL+PathBundles, signed(1, bundle.Digest{}))
 
 		Convey("a confirmed read is not marked stale, an unconfirmed one is", func() {
--- a/internal/controlapi/read.go
+++ b/internal/controlapi/read.go
@@ -1,6 +1,7 @@
 package controlapi
 
 import (
+	"fmt"
 	"net/http"
 	"strconv"
 
@@ -33,7 +34,7 @@
 	current := a.Machine.Current()
 	text := ctx.Vars().Get("version")
 	if current == nil {
-		return fail(ctx, http.StatusNotFound, CodeNotFound, "no version has been accepted")
+		return missing(ctx, stale, "no version has been accepted")
 	}
 	version := current.Header.Version
 	if text != CurrentVersion {
@@ -45,7 +46,7 @@
 	detail := VersionDetail{Stale: stale}
 	var ok bool
 	if detail.Header, ok = a.Machine.Header(version); !ok {
-		return fail(ctx, http.StatusNotFound, CodeNotFound, "version %d has not been accepted", version)
+		return missing(ctx, stale, fmt.Sprintf("version %d has not been accepted", version))
 	}
 	if signed, kept := a.Machine.Delta(version); kept {
 		detail.Changes, detail.HasDiff = signed.Delta.Changes, true
@@ -60,6 +61,15 @@
 	return ctx.JSON(http.StatusOK, detail)
 }
 
+// missing tells that a version does not exist. A host that was just started may
+// not have read its log yet, so without a leader's confirmation it cannot know.
+func missing(ctx khttp.Context, stale bool, message string) error {
+	if stale {
+		return fail(ctx, http.StatusServiceUnavailable, CodeNoLeader, "%s as far as this host knows, and no leader confirms it", message)
+	}
+	return fail(ctx, http.StatusNotFound, CodeNotFound, "%s", message)
+}
+
 func number(text string, standard uint64) (uint64, error) {
 	if text == "" {
 		return standard, nil
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -20,8 +20,8 @@
 const (
 	// attemptTimeout bounds one request; a control host waits up to 7 s for the leader.
 	attemptTimeout = 10 * time.Second
-	// retryPause separates rounds over all control hosts, to wait out an election.
-	retryPause = 200 * time.Millisecond
+	// staleWait is how long a read waits for a leader's confirmation; an election takes about 1 s.
+	staleWait = 3 * time.Second
 )
 
 // client asks the control hosts, one after the other.
@@ -68,26 +68,26 @@
 
 func (e *remoteError) Error() string { return e.Message }
 
-// get reads from the first control host that answers.
+// get reads an answer that the leader confirmed. If there is none within
+// staleWait, an answer that a control host gave on its own is taken; it is marked.
 func (c *client) get(ctx context.Context, path string, dst any) error {
-	var last error
-	for _, addr := range c.addrs {
-		body, status, err := c.request(ctx, addr, http.MethodGet, path, nil)
-		if err == nil {
-			err = decode(body, status, dst)
-		}
-		var remote *remoteError
-		switch {
-		case err == nil:
-			return nil
-		case errors.As(err, &remote) && remote.Code == controlapi.CodeNotFound:
-			return &exitError{ExitFailed, err}
-		case errors.As(err, &remote) && remote.Code == controlapi.CodeBadRequest:
-			return &exitError{ExitUsage, err}
-		}
-		last = err
+	r := &reading{until: time.Now().Add(staleWait), failed: map[string]bool{}, hosts: len(c.addrs), err: errors.New("no control host is configured")}
+	if len(c.addrs) > 0 {
+		hedge(ctx, c.addrs, func(ctx context.Context, addr string) bool {
+			body, status, err := c.request(ctx, addr, http.MethodGet, path, nil)
+			return r.note(addr, body, status, err)
+		})
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var exit *exitError
+	switch {
+	case r.body != nil:
+		return json.Unmarshal(r.body, dst)
+	case errors.As(r.err, &exit):
+		return r.err
 	}
-	return failed("no control host answered: %w", last)
+	return failed("no control host answered: %w", r.err)
 }
 
 // submit sends a signed bundle until a control host gives a definite answer.
@@ -98,30 +98,14 @@
 	if err != nil {
 		return nil, failed("encode signed bundle: %w", err)
 	}
-	maybeSent := false
-	last := errors.New("no control host is configured")
-	for {
-		for _, addr := range c.addrs {
+	s := &submission{err: errors.New("no control host is configured")}
+	if len(c.addrs) > 0 {
+		hedge(ctx, c.addrs, func(ctx context.Context, addr string) bool {
 			result, sent, err := c.submitTo(ctx, addr, body)
-			if result != nil {
-				return result, nil
-			}
-			var exit *exitError
-			if errors.As(err, &exit) && !maybeSent {
-				return nil, err
-			}
-			maybeSent = maybeSent || sent
-			last = fmt.Errorf("%s: %w", addr, err)
-		}
-		select {
-		case <-time.After(retryPause):
-		case <-ctx.Done():
-			if maybeSent {
-				return nil, unknown("no control host told whether the bundle was accepted; submit the same file again (%w)", last)
-			}
-			return nil, failed("the bundle was not submitted: %w", last)
-		}
+			return s.note(addr, result, sent, err)
+		})
 	}
+	return s.end()
 }
 
 // submitTo sends once. sent reports that the submission may be accepted although no result came back.
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -208,7 +208,7 @@
 		})
 		Convey("without a leader reads are answered and marked", func() {
 			c.set(func() { c.leader = -1 })
-			code, out, _ := c.as("ann", "bundle", "history")
+			code, out, _ := c.as("ann", "bundle", "history", "--timeout", "300ms")
 			So(code, ShouldEqual, ExitDone)
 			So(out, ShouldContainSubstring, "newer versions may exist")
 		})
--- /dev/null
+++ b/internal/ctl/reading.go
@@ -0,0 +1,50 @@
+package ctl
+
+import (
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/controlapi"
+)
+
+// reading collects the answers of control hosts to one read.
+type reading struct {
+	until time.Time // a stale answer is taken after it
+	hosts int
+
+	mu     sync.Mutex
+	body   []byte // best answer so far
+	failed map[string]bool
+	err    error
+	done   bool
+}
+
+// note takes an answer and reports whether asking on is of no use.
+func (r *reading) note(addr string, body []byte, status int, err error) (definite bool) {
+	var mark struct{ Stale bool }
+	if err == nil {
+		err = decode(body, status, &mark)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.done {
+		return true
+	}
+	var remote *remoteError
+	isRemote := errors.As(err, &remote)
+	switch {
+	case err == nil:
+		r.body, r.done = body, !mark.Stale || time.Now().After(r.until)
+	case isRemote && remote.Code == controlapi.CodeNotFound:
+		r.body, r.err, r.done = nil, &exitError{ExitFailed, err}, true
+	case isRemote && remote.Code == controlapi.CodeBadRequest:
+		r.body, r.err, r.done = nil, &exitError{ExitUsage, err}, true
+	case isRemote && remote.Code == controlapi.CodeNoLeader:
+		r.err, r.done = err, time.Now().After(r.until)
+	default:
+		r.err, r.failed[addr] = err, true
+		r.done = r.body == nil && len(r.failed) == r.hosts
+	}
+	return r.done
+}
