--- a/internal/ctl/process_test.go
+++ b/internal/ctl/process_test.go
@@ -26,7 +26,10 @@
 	"github.com/hornbeamstack/hornbeamstack/pkg/bundle"
 )
 
-var rounds = flag.Int("rounds", 3, "rounds of the tests with real processes")
+var (
+	rounds = flag.Int("rounds", 3, "rounds of the tests with real processes")
+	blocks = flag.Int("blocks", 0, "caller blocks in place of those of the example, for measurements")
+)
 
 const (
 	// processPatience bounds waits for processes; it is not a measured time.
@@ -61,8 +64,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	// Own addresses, so that a demo on the same machine does not collide.
-	text = bytes.ReplaceAll(text, []byte(`"127.1.`), []byte(`"127.79.`))
+	// Own addresses, so that other runs on the same machine do not collide.
+	text = bytes.ReplaceAll(text, []byte(`"127.1.`), fmt.Appendf(nil, `"127.%d.`, 100+os.Getpid()%100))
+	if *blocks > 0 {
+		text, _, _ = bytes.Cut(text, []byte("[[blocks]]"))
+		text = append(text, manyBlocks(*blocks)...)
+	}
 	file := filepath.Join(d.folder, "bundle.toml")
 	d.must(os.WriteFile(file, text, 0o644))
 	d.bundle, err = readBundle(file)
@@ -83,6 +90,20 @@
 	return d
 }
 
+// manyBlocks returns groups of caller blocks for all zones of the example.
+func manyBlocks(n int) string {
+	var out strings.Builder
+	zones := []string{"cork-a", "limerick-b", "dublin-a", "kilkenny-b", "galway-a", "sligo-b"}
+	for z, zone := range zones {
+		fmt.Fprintf(&out, "[[blocks]]\nzone = %q\nprefixes = [\n", zone)
+		for i := z; i < n; i += len(zones) {
+			fmt.Fprintf(&out, "\"%d.%d.%d.0/24\",\n", 10+i>>16, i>>8&255, i&255)
+		}
+		out.WriteString("]\n")
+	}
+	return out.String()
+}
+
 func (d *deployment) must(err error) {
 	d.t.Helper()
 	if err != nil {
--- a/pkg/bundle/snapshot.go
+++ b/pkg/bundle/snapshot.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"strings"
 )
 
 // snapshot is the encoded form of a bundle. Blocks take most of the space and
@@ -92,6 +93,7 @@
 		return nil, nil
 	}
 	u := &unpacker{rest: s.Blocks, ends: make([]uint32, 0, s.BlockCount)}
+	u.text.Grow(s.BlockCount * usualPrefixBytes)
 	blocks := make([]CallerBlock, s.BlockCount)
 	for i := range blocks {
 		zone, err := u.block()
@@ -110,14 +112,17 @@
 	return blocks, nil
 }
 
-// unpacker collects the text of all prefixes in one buffer, which costs one
+// unpacker collects the text of all prefixes in one string, which costs one
 // allocation for all of them.
 type unpacker struct {
 	rest []byte
-	text []byte
+	text strings.Builder
 	ends []uint32
 }
 
+// usualPrefixBytes is the length of an IPv4 prefix such as 100.200.30.0/24.
+const usualPrefixBytes = 15
+
 func (u *unpacker) block() (zone uint64, err error) {
 	if len(u.rest) == 0 {
 		return 0, errBadBlocks
@@ -137,8 +142,9 @@
 	if size == 4 {
 		addr = netip.AddrFrom4([4]byte(raw[:4]))
 	}
-	u.text = netip.PrefixFrom(addr, bits).AppendTo(u.text)
-	u.ends = append(u.ends, uint32(len(u.text)))
+	var text [64]byte
+	u.text.Write(netip.PrefixFrom(addr, bits).AppendTo(text[:0]))
+	u.ends = append(u.ends, uint32(u.text.Len()))
 	zone, read := binary.Uvarint(u.rest)
 	if read <= 0 {
 		return 0, errBadBlocks
@@ -148,7 +154,7 @@
 }
 
 func (u *unpacker) assign(blocks []CallerBlock) {
-	text := string(u.text)
+	text := u.text.String()
 	start := uint32(0)
 	for i, end := range u.ends {
 		blocks[i].Prefix = text[start:end]
