--- a/internal/history/machine.go
+++ b/internal/history/machine.go
@@ -96,12 +96,18 @@
 	return bundle.Check(next.Bundle, base.Bundle)
 }
 
-// kept returns the form of a version that is kept for hosts that lag behind.
+// kept returns the form of a version that is offered to hosts and kept for those
+// that lag behind. A snapshot that follows another version becomes a delta
+// unless that is larger.
 func (m *Machine) kept(signed *bundle.Signed, next, base *bundle.Version) bundle.Signed {
 	if signed.Delta != nil || base == nil {
 		return *signed
 	}
-	return bundle.Signed{Header: signed.Header, Delta: bundle.NewDelta(base.Bundle, next.Bundle)}
+	smaller, err := bundle.NewSigned(signed.Header, next.Bundle, base.Bundle)
+	if err != nil {
+		return *signed
+	}
+	return *smaller
 }
 
 func (m *Machine) append(next *bundle.Version, signed bundle.Signed) {
--- a/internal/history/machine_test.go
+++ b/internal/history/machine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/ed25519"
+	"fmt"
 	"math/rand/v2"
 	"os"
 	"testing"
@@ -104,6 +105,26 @@
 			So(r.Message, ShouldContainSubstring, v2.Root().String())
 			So(m.Current().Header.Operator, ShouldEqual, "ann")
 		})
+		Convey("a submitted snapshot is offered as a delta, unless most blocks changed", func() {
+			var offered []bundle.Signed
+			m.Subscribe(func(_ *bundle.Version, signed bundle.Signed) { offered = append(offered, signed) })
+			large := next(v1, 4000)
+			for i := range 600 {
+				large.Blocks = append(large.Blocks, bundle.CallerBlock{Prefix: fmt.Sprintf("11.%d.%d.0/24", i/256, i%256), AvailabilityZone: "east-b"})
+			}
+			large.Canonicalize()
+			small := next(large, 4001)
+			for _, step := range [][2]*bundle.Bundle{{large, v1}, {small, large}} {
+				header := bundle.Sign(step[0].Version, step[1].Root(), step[0].Root(), "ann", ops["ann"])
+				signed, err := bundle.NewSigned(header, step[0], nil)
+				So(err, ShouldBeNil)
+				data, err := signed.Encode()
+				So(err, ShouldBeNil)
+				So(apply(t, m, data).Outcome, ShouldEqual, Accepted)
+			}
+			So(offered[1].Snapshot, ShouldNotBeNil)
+			So(offered[2].Delta, ShouldNotBeNil)
+		})
 		Convey("a wrong previous root is a conflict", func() {
 			r := apply(t, m, ops.command(t, "ann", v2, next(v1, 1)))
 			So(r.Outcome, ShouldEqual, Conflict)
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -1,5 +1,7 @@
 package settings
 
+import "fmt"
+
 // Entry holds the settings of hornbeam-entry.
 type Entry struct {
 	Host             string            `toml:"host" help:"Name of this host, as in the bundle."`
@@ -13,11 +15,15 @@
 	TraceFile        string            `toml:"trace_file" optional:"yes" help:"File that spans are appended to; no file, no spans."`
 }
 
-// Check reports what is wrong with the settings.
 func (e *Entry) check(c *checker) {
 	c.program(e.Host, e.AvailabilityZone, e.Peer, e.HTTP, e.LogLevel)
 	c.members("control_host", e.ControlHosts, true)
 	c.members("zone_host", e.ZoneHosts, false)
+	for i, m := range e.ZoneHosts {
+		if m.Name == e.Host || m.Peer == e.Peer {
+			c.add(fmt.Sprintf("zone_host[%d]", i), "is this host itself; name the other hosts of the zone")
+		}
+	}
 	c.keys(e.OperatorKeys)
 }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -88,6 +88,16 @@
 		So(err.Error(), ShouldContainSubstring, ":3: peer: ")
 		So(err.Error(), ShouldContainSubstring, ":4: extra: ")
 	})
+	Convey("A host that names itself as a peer of its zone is a finding", t, func() {
+		file := filepath.Join(t.TempDir(), "entry.toml")
+		So(os.WriteFile(file, []byte(goodEntry+"[[zone_host]]\nname = \"entry-1\"\npeer = \"127.0.0.1:7000\"\n"), 0o644), ShouldBeNil)
+		_, err := LoadEntry(file)
+		So(err, ShouldNotBeNil)
+		So(err.Error(), ShouldContainSubstring, ":10: zone_host[0]: is this host itself")
+		So(os.WriteFile(file, []byte(goodEntry), 0o644), ShouldBeNil)
+		_, err = LoadEntry(file)
+		So(err, ShouldBeNil)
+	})
 	Convey("A missing file is a finding", t, func() {
 		_, err := LoadEntry(filepath.Join(t.TempDir(), "none.toml"))
 		So(err, ShouldNotBeNil)
