--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -57,6 +57,11 @@
 		{"same address twice", `http = "127.0.0.1:8000"`, `http = "127.0.0.1:7000"`, "already used by peer"},
 		{"duplicate member name", `name = "control-2"`, `name = "control-1"`, `:13: member[1].name: "control-1" is named twice`},
 		{"duplicate member address", `peer = "127.0.0.2:7000"`, `peer = "127.0.0.1:7000"`, `member[1].peer: "127.0.0.1:7000" is named twice`},
+		{"member without a name", `name = "control-2"`, ``, "member[1].name: is missing"},
+		{"HTTP address of a member by name", `peer = "127.0.0.2:7000"`, "peer = \"127.0.0.2:7000\"\nhttp = \"b:80\"", `member[1].http: "b:80" is not an IP number`},
+		{"HTTP address of a member twice", `peer = "127.0.0.2:7000"`, "peer = \"127.0.0.2:7000\"\nhttp = \"127.0.0.1:8000\"", "member[1].http: \"127.0.0.1:8000\" is named twice"},
+		{"operator without a name", `ann = `, `"" = `, "the operator has no name"},
+		{"one key for two operators", `[operator_keys]`, "[operator_keys]\nben = \"" + goodKey + `"`, "is named twice"},
 		{"host is no member", `host = "control-1"`, `host = "control-9"`, "not among the members"},
 		{"own address differs", `peer = "127.0.0.1:7000"` + "\nhttp", `peer = "127.0.0.7:7000"` + "\nhttp", "differs from this host's own"},
 		{"key is not base64", goodKey, "???", ":7: operator_keys.ann: is not base64"},
@@ -67,16 +72,31 @@
 	}
 	for _, c := range cases {
 		Convey(c.name, t, func() {
-			So(goodControl, ShouldContainSubstring, c.old)
-			file := filepath.Join(t.TempDir(), "control.toml")
-			So(os.WriteFile(file, []byte(strings.Replace(goodControl, c.old, c.new, 1)), 0o644), ShouldBeNil)
-			_, err := LoadControl(file)
-			So(err, ShouldNotBeNil)
-			So(err.Error(), ShouldContainSubstring, c.want)
+			refuses(t, goodControl, c.old, c.new, c.want, func(file string) error { _, err := LoadControl(file); return err })
+		})
+	}
+	for _, c := range []struct{ name, old, new, want string }{
+		{"no control hosts", goodEntry[strings.Index(goodEntry, "[[control_host]]"):], "", "control_host: at least one is needed"},
+		{"control host by name", `peer = "127.0.0.9:7000"`, `peer = "c:7000"`, `control_host[0].peer: "c:7000" is not an IP number`},
+		{"zone host by name", `[[control_host]]`, "[[zone_host]]\nname = \"e\"\npeer = \"e:7000\"\n[[control_host]]", `zone_host[0].peer: "e:7000" is not an IP number`},
+		{"keys of an entry host", goodKey, "???", ":6: operator_keys.ann: is not base64"},
+	} {
+		Convey("entry host: "+c.name, t, func() {
+			refuses(t, goodEntry, c.old, c.new, c.want, func(file string) error { _, err := LoadEntry(file); return err })
 		})
 	}
 }
 
+// refuses checks that an edit of a good file gives a finding.
+func refuses(t *testing.T, good, old, edited, want string, load func(file string) error) {
+	So(good, ShouldContainSubstring, old)
+	file := filepath.Join(t.TempDir(), "settings.toml")
+	So(os.WriteFile(file, []byte(strings.Replace(good, old, edited, 1)), 0o644), ShouldBeNil)
+	err := load(file)
+	So(err, ShouldNotBeNil)
+	So(err.Error(), ShouldContainSubstring, want)
+}
+
 // TestAllFindingsTogether guards against reporting only the first problem.
 func TestAllFindingsTogether(t *testing.T) {
 	Convey("Three problems give three findings in the order of lines", t, func() {
