--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 	$(BIN)/hornbeam-demo --bin $(BIN)
 
 # test gives one verdict: static checks, model checking, example bundles, unit and process tests.
-test: check unit
+test: check models examples unit
 
 check:
 	@test -z "$$(gofmt -l .)" || { gofmt -l .; echo "files above are not gofmt clean"; exit 1; }
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -11,6 +11,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,6 +26,7 @@
 // Options describe a deployment to start.
 type Options struct {
 	BundleFile string
+	Bundle     *bundle.Bundle              // in place of BundleFile
 	Folder     string                      // settings and data; a temporary one if empty
 	Targets    map[string]int              // stand-in targets by service, spread over the zones in turn; none if nil
 	Zones      []string                    // availability zones that get targets; all if empty
@@ -46,20 +48,17 @@
 
 	options Options
 	key     ed25519.PrivateKey
-	current *bundle.Bundle // newest version rolled out
+	files   map[string]string // settings by host
+	current *bundle.Bundle    // newest version rolled out
 	root    bundle.Digest
 }
 
 // Start runs the deployment and waits until every entry host has the bundle in force.
 func Start(ctx context.Context, o Options) (*Cluster, error) {
-	text, err := os.ReadFile(o.BundleFile)
+	b, err := o.bundle()
 	if err != nil {
 		return nil, err
 	}
-	b, found := bundle.Parse(o.BundleFile, text)
-	if err := found.Err(); err != nil {
-		return nil, err
-	}
 	if o.Edit != nil {
 		o.Edit(b)
 	}
@@ -76,6 +75,18 @@
 	return c, nil
 }
 
+func (o *Options) bundle() (*bundle.Bundle, error) {
+	if o.Bundle != nil {
+		return o.Bundle, nil
+	}
+	text, err := os.ReadFile(o.BundleFile)
+	if err != nil {
+		return nil, err
+	}
+	b, found := bundle.Parse(o.BundleFile, text)
+	return b, found.Err()
+}
+
 func (c *Cluster) start(ctx context.Context) error {
 	public, private, err := ed25519.GenerateKey(rand.Reader)
 	if err != nil {
@@ -83,7 +94,7 @@
 	}
 	c.key = private
 	keys := map[string]string{operator: base64.StdEncoding.EncodeToString(public)}
-	files, err := settings.WriteForBundle(c.options.Folder, c.Bundle, keys)
+	c.files, err = settings.WriteForBundle(c.options.Folder, c.Bundle, keys)
 	if err != nil {
 		return err
 	}
@@ -91,7 +102,7 @@
 		if c.options.Only != nil && !c.options.Only(h) {
 			continue
 		}
-		if err := c.startHost(h, files[h.Name]); err != nil {
+		if err := c.startHost(h, c.files[h.Name]); err != nil {
 			return fmt.Errorf("start %s: %w", h.Name, err)
 		}
 	}
@@ -123,6 +134,25 @@
 	return err
 }
 
+// RestartAll ends entry hosts at once, all of them, and then starts them again.
+func (c *Cluster) RestartAll(names []string) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel() // no graceful shutdown
+	for _, name := range names {
+		_ = c.Entries[name].Stop(ctx)
+		delete(c.Entries, name)
+	}
+	for _, h := range c.Bundle.Hosts {
+		if !slices.Contains(names, h.Name) {
+			continue
+		}
+		if err := c.startHost(h, c.files[h.Name]); err != nil {
+			return fmt.Errorf("restart %s: %w", h.Name, err)
+		}
+	}
+	return nil
+}
+
 // Stop ends all targets and hosts at once.
 func (c *Cluster) Stop() {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/cluster/submit.go
+++ b/internal/cluster/submit.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
+	"path/filepath"
 	"time"
 
 	"github.com/hornbeamstack/hornbeamstack/pkg/bundle"
@@ -63,3 +65,15 @@
 	text, err = io.ReadAll(resp.Body)
 	return resp.StatusCode, text, err
 }
+
+// DataBytes returns the size of all files in the data folders of the control hosts.
+func (c *Cluster) DataBytes() float64 {
+	sum := 0.0
+	_ = filepath.Walk(filepath.Join(c.options.Folder, "data"), func(_ string, info os.FileInfo, err error) error {
+		if err == nil && !info.IsDir() {
+			sum += float64(info.Size())
+		}
+		return nil
+	})
+	return sum
+}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -165,6 +165,9 @@
 	return nil
 }
 
+// Ready reports whether the host has a bundle in force.
+func (e *Entry) Ready() bool { return e.hasBundle.Load() }
+
 // Version returns the bundle version in force, 0 if there is none.
 func (e *Entry) Version() uint64 {
 	if a := e.holder.Current(); a != nil {
