--- a/internal/entry/raw_test.go
+++ b/internal/entry/raw_test.go
@@ -45,3 +45,8 @@
 		}
 	}
 }
+
+func rawOK(_ int, conn net.Conn, _ *http.Request) bool {
+	_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	return err == nil
+}
