--- /dev/null
+++ b/internal/claims/run.go
@@ -0,0 +1,75 @@
+package claims
+
+import (
+	"context"
+	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/pkg/claim"
+)
+
+const (
+	// joinInterval is the pause between rounds of a store that is not ready.
+	joinInterval = 250 * time.Millisecond
+	// registerInterval is the pause between rounds that register the own fence with stores that missed it.
+	registerInterval = 5 * time.Second
+	// copyTimeout bounds one step of a copy.
+	copyTimeout = 5 * time.Second
+	// keepInterval is the time between checks for old records and for the size of the log.
+	keepInterval = time.Minute
+	// snapshotEvery is the number of records after which a snapshot is taken.
+	snapshotEvery = 100_000
+)
+
+// Run joins the store if its disk is new, drops old records and takes
+// snapshots, until ctx ends. Votes that are waiting for the log then fail.
+func (s *StoreService) Run(ctx context.Context) error {
+	defer s.journal.close()
+	joined := make(chan struct{})
+	go func() { defer close(joined); s.join(ctx) }()
+	defer func() { <-joined }()
+	tick := time.NewTicker(keepInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+			s.keep()
+		}
+	}
+}
+
+// keep drops old records and takes a snapshot if the log has grown.
+func (s *StoreService) keep() {
+	if err := s.forget(); err != nil {
+		s.o.Logger.Error("claim records not dropped", "store", s.o.Name, "err", err)
+		return
+	}
+	if s.journal.last()-s.snapshotAt.Load() < snapshotEvery {
+		return
+	}
+	if err := s.saveSnapshot(); err != nil {
+		s.o.Logger.Error("claim snapshot failed", "store", s.o.Name, "err", err)
+	}
+}
+
+// forget drops records past their lifetime. The horizon is on disk first.
+func (s *StoreService) forget() error {
+	err := s.changeGate(func(g *claim.Gate) *claim.Mutation { return g.Forget(s.o.Now()) })
+	if err != nil {
+		return err
+	}
+	s.gateMu.RLock()
+	horizon := s.gate.Horizon()
+	s.gateMu.RUnlock()
+	dropped := 0
+	for _, sh := range s.shards {
+		sh.mu.Lock()
+		dropped += sh.store.Register.Drop(horizon)
+		sh.mu.Unlock()
+	}
+	if dropped > 0 {
+		s.o.Logger.Info("claim records dropped", "store", s.o.Name, "records", dropped)
+	}
+	return nil
+}
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -39,6 +39,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("stand-in target: %w", err)
 	}
+	if c.Wrap != nil {
+		listener = c.Wrap(listener)
+	}
 	t := &Target{config: c, address: listener.Addr().String(), counts: newCounts(), fault: c.Fault}
 	t.worker = newWorker(c.Slots, c.MeanWork, c.Seed)
 	t.announcer = newAnnouncer(t)
@@ -58,6 +61,9 @@
 // Address returns the IP:port that the target listens on.
 func (t *Target) Address() string { return t.address }
 
+// Service returns the service that the target belongs to.
+func (t *Target) Service() string { return t.config.Service }
+
 // Stats returns the counts of the target.
 func (t *Target) Stats() Stats { return t.counts.read() }
 
