Let callers mark resends; write error codes as other parts do

Cause: 'not run' for lack of claim stores is true of the present attempt only. Change: Hornbeam-Resend: true turns such a refusal into 'unknown'. Error codes have hyphens, as those of claims and zones.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -20,6 +20,7 @@
 	method     string
 	path       string // escaped path for the target, with a leading slash
 	key        string // idempotency key of a request that needs a claim, else empty
+	resend     bool   // the caller has sent the key before and does not know what became of it
 	repeatable bool
 	class      traffic.Class
 	deadline   time.Time
@@ -52,6 +53,7 @@
 	}
 	if !c.repeatable {
 		c.key, problem = parseKey(r.Header)
+		c.resend = r.Header.Get(HeaderResend) == "true"
 	}
 	return c, problem
 }
--- a/internal/entry/claiming.go
+++ b/internal/entry/claiming.go
@@ -31,7 +31,11 @@
 	var refused *ClaimRefusedError
 	switch {
 	case errors.As(err, &refused):
-		return &Problem{Status: claimStatus(refused.Outcome), Code: refused.Code, Outcome: refused.Outcome,
+		outcome := refused.Outcome
+		if x.call.resend && outcome == OutcomeNotRun {
+			outcome = OutcomeUnknown // this attempt did not run, but an earlier one may have
+		}
+		return &Problem{Status: claimStatus(outcome), Code: refused.Code, Outcome: outcome,
 			Message: refused.Message, RetryAfter: refused.RetryAfter}
 	case x.ctx.Err() != nil:
 		return unknown(statusCallerGone, CodeCallerGone, "caller closed its connection")
--- a/internal/entry/header.go
+++ b/internal/entry/header.go
@@ -14,6 +14,7 @@
 	HeaderClass    = "Hornbeam-Class"
 	HeaderShed     = "Hornbeam-Shed"
 	HeaderAttempt  = "Hornbeam-Attempt"
+	HeaderResend   = "Hornbeam-Resend"
 )
 
 // Values of HeaderOutcome.
@@ -35,7 +36,7 @@
 }
 
 // ownHeaders are set by the entry host only; values from callers and targets are dropped.
-var ownHeaders = []string{HeaderOutcome, HeaderTimeout, HeaderDeadline, HeaderShed, HeaderAttempt}
+var ownHeaders = []string{HeaderOutcome, HeaderTimeout, HeaderDeadline, HeaderShed, HeaderAttempt, HeaderResend}
 
 // endToEnd copies the headers that are passed on to the next hop.
 func endToEnd(in http.Header) http.Header {
--- a/internal/entry/problem.go
+++ b/internal/entry/problem.go
@@ -21,23 +21,23 @@
 
 // Codes of problems.
 const (
-	CodeInvalidRequest    = "invalid_request"
-	CodeInvalidKey        = "invalid_key"
-	CodeUnknownService    = "unknown_service"
-	CodeNotFound          = "not_found"
-	CodeMethodNotAllowed  = "method_not_allowed"
+	CodeInvalidRequest    = "invalid-request"
+	CodeInvalidKey        = "invalid-key"
+	CodeUnknownService    = "unknown-service"
+	CodeNotFound          = "not-found"
+	CodeMethodNotAllowed  = "method-not-allowed"
 	CodeBusy              = "busy"
 	CodeShed              = "shed"
-	CodeTargetUnreachable = "target_unreachable"
-	CodeTargetFailed      = "target_failed"
-	CodeBadResponse       = "bad_target_response"
+	CodeTargetUnreachable = "target-unreachable"
+	CodeTargetFailed      = "target-failed"
+	CodeBadResponse       = "bad-target-response"
 	CodeDeadline          = "deadline"
-	CodeCallerGone        = "caller_gone"
-	CodeAnswerNotKept     = "answer_not_kept"
+	CodeCallerGone        = "caller-gone"
+	CodeAnswerNotKept     = "answer-not-kept"
 	CodeInternal          = "internal"
-	CodeUnknownCaller     = "unknown_caller"
-	CodeRefusedTarget     = "refused_target"
-	CodeNotReady          = "not_ready"
+	CodeUnknownCaller     = "unknown-caller"
+	CodeRefusedTarget     = "refused-target"
+	CodeNotReady          = "not-ready"
 )
 
 type problemBody struct {
--- a/internal/entry/routes_test.go
+++ b/internal/entry/routes_test.go
@@ -95,6 +95,12 @@
 			So(problem(t, got.body), ShouldResemble, problemFields{"c", outcome, "m", 1000})
 		})
 	}
+	Convey("a refused claim of a resend does not say that nothing ran", t, func() {
+		h := startHost(t, nil)
+		h.claims.err = &ClaimRefusedError{Outcome: OutcomeNotRun, Code: "claim-no-quorum"}
+		So(h.do("POST", "/s/bookings/rooms", newKey(), "").outcome, ShouldEqual, OutcomeNotRun)
+		So(h.do("POST", "/s/bookings/rooms", newKey(), "", HeaderResend, "true").outcome, ShouldEqual, OutcomeUnknown)
+	})
 	Convey("an error of the claim itself leaves the outcome unknown, as an earlier send may have run", t, func() {
 		h := startHost(t, nil)
 		h.claims.err = errors.New("stores do not answer")
--- a/internal/entry/telemetry_test.go
+++ b/internal/entry/telemetry_test.go
@@ -59,7 +59,7 @@
 		var all map[string]map[string]float64
 		So(json.Unmarshal(h.do("GET", "/metrics", "", "").body, &all), ShouldBeNil)
 		for name, count := range map[string]float64{"entry.requests": 2, "entry.retries": 1, "entry.in_flight": 0,
-			"entry.outcomes.done": 1, "entry.outcomes.not-run": 1, "entry.refusals.unknown_service": 1,
+			"entry.outcomes.done": 1, "entry.outcomes.not-run": 1, "entry.refusals.unknown-service": 1,
 			"entry.attempts.broken": 1, "entry.permit_wait": 2, "entry.hop": 1} {
 			So(all[name]["count"], ShouldEqual, count)
 		}
