End responses to callers that accept no bytes; pay links in chunks

Cause: a caller that vanished would hold its slot until TCP gives up. Pieces of 4 KB exceed what a small link share lets pass within 100 ms. Change: callerConn ends writes of which nothing is accepted for 30 s and resets the connection itself: net/http closes it on a write error, which an HTTP/1.0 caller would take for the end of the response (found by the new test). toll asks the links for their chunk size if they implement Chunker.

--- a/internal/entry/caller_test.go
+++ b/internal/entry/caller_test.go
@@ -17,6 +17,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/hornbeamstack/hornbeamstack/internal/standin"
+	"github.com/hornbeamstack/hornbeamstack/pkg/bundle"
 	"github.com/hornbeamstack/hornbeamstack/pkg/slots"
 )
 
@@ -256,3 +257,22 @@
 		}
 	})
 }
+
+// Without the limit a caller that vanished holds a slot until TCP gives up.
+func TestStalledCaller(t *testing.T) {
+	Convey("a caller that accepts no bytes gets a reset, and the slot is freed", t, func() {
+		target := startTarget(t, standin.Config{})
+		h := startHost(t, []string{target.Address()}, func(c *Config, _ *bundle.Service) {
+			c.Timeouts = DefaultTimeouts
+			c.Timeouts.CallerStall = 200 * time.Millisecond
+		})
+		conn, err := net.Dial("tcp", h.address)
+		So(err, ShouldBeNil)
+		defer conn.Close()
+		_, err = fmt.Fprintf(conn, "GET /s/bookings/export?bytes=50000000&chunked=1 HTTP/1.0\r\n\r\n")
+		So(err, ShouldBeNil)
+		So(h.freed(1), ShouldResemble, []slots.Outcome{slots.OutcomeAbandoned})
+		_, err = io.Copy(io.Discard, conn)
+		So(err, ShouldNotBeNil)
+	})
+}
--- a/internal/entry/deliver.go
+++ b/internal/entry/deliver.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"net"
 	"net/http"
 	"time"
 
@@ -196,10 +195,8 @@
 // abort resets the caller's connection. A plain close would look like the
 // regular end of a response to an HTTP/1.0 caller.
 func abort(r *http.Request) {
-	if conn, ok := r.Context().Value(connKey{}).(net.Conn); ok {
-		if tcp, ok := conn.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
+	if conn, ok := r.Context().Value(connKey{}).(*callerConn); ok {
+		conn.reset()
 	}
 	panic(http.ErrAbortHandler)
 }
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -135,6 +135,9 @@
 }
 
 func (l *fakeLinks) Wait(ctx context.Context, _ string, d traffic.Direction, _ traffic.Class, n int) error {
+	if n > fakeChunk {
+		panic("more than a chunk paid at once")
+	}
 	l.mu.Lock()
 	if l.limit > 0 && d == traffic.Inbound && l.paid[d]+n > l.limit {
 		l.mu.Unlock()
@@ -146,6 +149,11 @@
 	return nil
 }
 
+// Chunk is smaller than tollPiece, as that of a small share is.
+func (l *fakeLinks) Chunk(string, traffic.Direction) int { return fakeChunk }
+
+const fakeChunk = 1500
+
 func (l *fakeLinks) bytes(d traffic.Direction) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/entry/shutdown_test.go
+++ b/internal/entry/shutdown_test.go
@@ -41,7 +41,8 @@
 
 // shortTimeouts makes every time limit shorter than the download of the test.
 func shortTimeouts(c *Config, s *bundle.Service) {
-	c.Timeouts = Timeouts{Control: 50 * time.Millisecond, ReadHeader: 50 * time.Millisecond, CallerIdle: 50 * time.Millisecond}
+	c.Timeouts = Timeouts{Control: 50 * time.Millisecond, ReadHeader: 50 * time.Millisecond, CallerIdle: 50 * time.Millisecond,
+		CallerStall: time.Second}
 	s.RequestTimeoutMs = 100
 }
 
--- a/internal/entry/surface.go
+++ b/internal/entry/surface.go
@@ -34,7 +34,7 @@
 	s := &Surface{config: c, metrics: newInstruments(c.Registry)}
 	s.forward = newForwarder(c, s.metrics, s.refuse)
 	s.server = kratos.NewServer(
-		kratos.Listener(c.Listener),
+		kratos.Listener(callerListener{c.Listener, c.Timeouts.CallerStall}),
 		kratos.Address(c.Listener.Addr().String()),
 		kratos.Timeout(c.Timeouts.Control),
 		kratos.StrictSlash(false),
--- a/internal/entry/target_conn.go
+++ b/internal/entry/target_conn.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"sync"
+
+	"github.com/hornbeamstack/hornbeamstack/pkg/traffic"
 )
 
 // Reasons for which a connection refuses the first byte of an attempt.
@@ -95,7 +97,7 @@
 	for written < len(p) {
 		piece := p[written:]
 		if c.toll != nil {
-			piece = piece[:min(len(piece), tollPiece)]
+			piece = piece[:min(len(piece), c.toll.piece(traffic.Outbound))]
 			if err := c.toll.payOut(len(piece)); err != nil {
 				return written, err
 			}
--- a/internal/entry/timeouts.go
+++ b/internal/entry/timeouts.go
@@ -2,13 +2,17 @@
 
 import "time"
 
-// Timeouts of callers' connections. None of them concerns bodies on the request path.
+// Timeouts of callers' connections. None of them limits how long a body takes.
 type Timeouts struct {
 	Control    time.Duration // look-ups and announcements
 	ReadHeader time.Duration // from the first byte of a request to the end of its header
 	CallerIdle time.Duration // idle connections of callers
+	// CallerStall ends a response of which the caller accepts no byte for so long.
+	// Targets do the same (docs/targets.md).
+	CallerStall time.Duration
 }
 
 // DefaultTimeouts allow for callers on slow links. Idle connections stay open
 // longer than the minute for which many HTTP clients keep theirs.
-var DefaultTimeouts = Timeouts{Control: 2 * time.Second, ReadHeader: 10 * time.Second, CallerIdle: 75 * time.Second}
+var DefaultTimeouts = Timeouts{Control: 2 * time.Second, ReadHeader: 10 * time.Second, CallerIdle: 75 * time.Second,
+	CallerStall: 30 * time.Second}
--- a/internal/entry/toll.go
+++ b/internal/entry/toll.go
@@ -7,8 +7,9 @@
 	"github.com/hornbeamstack/hornbeamstack/pkg/traffic"
 )
 
-// tollPiece is the largest number of bytes paid for at once. Small pieces let
-// short requests go in between those of a bulk transfer.
+// tollPiece is the largest number of bytes paid for at once, if the links do
+// not ask for less. Small pieces let short requests go in between those of a
+// bulk transfer.
 const tollPiece = 4 << 10
 
 // receiveCharge is paid when a connection to another region is opened: so many
@@ -34,14 +35,24 @@
 
 // payOpening pays for what the receive buffer can take in.
 func (t *toll) payOpening(ctx context.Context) error {
-	for paid := 0; paid < receiveCharge; paid += tollPiece {
-		if err := t.links.Wait(ctx, t.region, traffic.Inbound, t.class, tollPiece); err != nil {
+	for left := receiveCharge; left > 0; {
+		n := min(left, t.piece(traffic.Inbound))
+		if err := t.links.Wait(ctx, t.region, traffic.Inbound, t.class, n); err != nil {
 			return err
 		}
+		left -= n
 	}
 	return nil
 }
 
+// piece returns how many bytes to pay for at once.
+func (t *toll) piece(d traffic.Direction) int {
+	if c, ok := t.links.(Chunker); ok {
+		return max(1, min(tollPiece, c.Chunk(t.region, d)))
+	}
+	return tollPiece
+}
+
 // payOut pays for bytes that are about to be written.
 func (t *toll) payOut(n int) error {
 	return t.links.Wait(t.ctx, t.region, traffic.Outbound, t.class, n)
@@ -53,11 +64,12 @@
 	credit := t.credit
 	t.mu.Unlock()
 	if credit == 0 {
-		if err := t.links.Wait(t.ctx, t.region, traffic.Inbound, t.class, tollPiece); err != nil {
+		n := t.piece(traffic.Inbound)
+		if err := t.links.Wait(t.ctx, t.region, traffic.Inbound, t.class, n); err != nil {
 			return 0, err
 		}
 		t.mu.Lock()
-		t.credit += tollPiece
+		t.credit += n
 		credit = t.credit
 		t.mu.Unlock()
 	}
