Test the slot pool with fault cases and random schedules

Cause: the pool's rules had only been run on loopback. Fixed: a request with more than 10 s left queued for a service without targets; it is now refused at once.

--- a/pkg/slots/acquire.go
+++ b/pkg/slots/acquire.go
@@ -57,7 +57,7 @@
 // expectedWait estimates when a request that joins the queue would get its slot.
 func (p *Pool) expectedWait(now time.Time, s *service, r Request) time.Duration {
 	if p.policy.Drained {
-		return maxRetryAfter
+		return never
 	}
 	if p.Recovering() && now.Sub(p.started) >= recoveryQueueing {
 		return p.recoveryEnd().Sub(now)
@@ -66,7 +66,7 @@
 		return 0
 	}
 	if live, _ := s.live(now, p.policy); live == 0 {
-		return maxRetryAfter
+		return never
 	}
 	if s.queue.empty() {
 		return s.flow.gap
--- /dev/null
+++ b/pkg/slots/invariant_test.go
@@ -0,0 +1,353 @@
+package slots
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/pkg/traffic"
+	"pgregory.net/rapid"
+)
+
+func init() {
+	for name, value := range map[string]string{"seed": "20261204", "checks": "400", "steps": "200"} {
+		if err := flag.Set("rapid."+name, value); err != nil {
+			panic(err)
+		}
+	}
+}
+
+const stalled = 30 * time.Second // targets close a connection that accepts no bytes
+
+// use is a permit at its holder and what the target really does for it.
+type use struct {
+	id        ID
+	target    string
+	term      int
+	deadline  time.Time
+	sent      bool
+	streaming bool
+	confirmed time.Time
+	released  bool
+	workEnd   time.Time // the target stops at the latest; zero: when the holder ends it
+	grant     bool      // still on its way
+}
+
+// world holds two entry hosts, two targets and the present coordinator's pool.
+type world struct {
+	now      time.Time
+	pool     *Pool
+	term     int
+	number   uint64
+	inc      map[string]int
+	seen     map[string]int // newest term a host has answered
+	frozen   map[string]bool
+	uses     map[ID]*use
+	started  map[string]time.Time
+	sequence uint64
+	slots    map[string]int
+	full     int // times a target was seen with all slots in use after a failover
+}
+
+func newWorld(slots ...int) *world {
+	w := &world{
+		now: start, inc: map[string]int{}, seen: map[string]int{}, frozen: map[string]bool{},
+		uses: map[ID]*use{}, started: map[string]time.Time{}, slots: map[string]int{},
+	}
+	for i, n := range slots {
+		w.slots[address(i)] = n
+	}
+	w.failover(nil)
+	return w
+}
+
+func (w *world) holder(h string) Holder { return Holder{h, fmt.Sprint(w.inc[h])} }
+
+func (w *world) failover(hosts []string) {
+	w.term++
+	p := Policy{Services: map[string]Limits{"s": {WarmUp: time.Second, Timeout: 4 * time.Second}}}
+	w.pool = NewPool(w.now, p, hosts, 2*time.Second)
+}
+
+func (w *world) acquire(h string, class traffic.Class, left time.Duration) {
+	if w.frozen[h] {
+		return
+	}
+	w.number++
+	r := Request{
+		ID: ID{w.holder(h), w.number}, Service: "s", Class: class, Deadline: w.now.Add(left), MaxWait: time.Second,
+	}
+	w.uses[r.ID] = &use{id: r.ID, term: w.term, deadline: r.Deadline, grant: true}
+	if g, queued, err := w.pool.Acquire(w.now, r); err == nil && !queued {
+		w.uses[r.ID].target = g.Target
+	}
+}
+
+// collect notes grants of queued requests; they arrive at any later step.
+func (w *world) collect() {
+	for _, d := range w.pool.Decisions() {
+		if u := w.uses[d.ID]; u != nil && d.Err == nil {
+			u.target, u.term = d.Target, w.term
+		}
+	}
+}
+
+// live returns whether the holder's process still has the permit.
+func (w *world) live(u *use) bool { return u.id.Holder == w.holder(u.id.Holder.Host) && !u.released }
+
+// send uses a grant that has arrived, unless its holder has answered a newer term.
+func (w *world) send(u *use) {
+	if !w.live(u) || w.frozen[u.id.Holder.Host] || !u.grant || u.target == "" || !w.now.Before(u.deadline) {
+		return
+	}
+	u.grant = false
+	if u.term < w.seen[u.id.Holder.Host] {
+		u.released = true
+		return
+	}
+	u.sent, u.workEnd = true, u.deadline
+}
+
+func (w *world) end(u *use, o Outcome, arrives bool) {
+	if !w.live(u) || w.frozen[u.id.Holder.Host] || u.grant {
+		return
+	}
+	u.released = true
+	if o == OutcomeDone {
+		u.workEnd = w.now
+	} else {
+		u.workEnd = earlier(or(u.workEnd, w.now.Add(time.Hour)), w.now.Add(AbandonGrace))
+	}
+	if arrives {
+		w.pool.Release(w.now, u.id, o)
+	}
+}
+
+func or(t, other time.Time) time.Time {
+	if t.IsZero() {
+		return other
+	}
+	return t
+}
+
+func (w *world) stream(u *use) {
+	if u.sent && w.live(u) && !w.frozen[u.id.Holder.Host] && !u.streaming && w.now.Before(u.deadline) {
+		u.streaming, u.workEnd = true, time.Time{}
+	}
+}
+
+func (w *world) renew(u *use) {
+	if !w.live(u) || w.frozen[u.id.Holder.Host] || !u.streaming {
+		return
+	}
+	unknown, deferred := w.pool.Renew(w.now, u.id.Holder, []uint64{u.id.Number})
+	if len(unknown) > 0 {
+		w.end(u, OutcomeAbandoned, true)
+	} else if !deferred {
+		u.confirmed = w.now
+	}
+}
+
+// pass moves the clock; holders end lost streams and pools see ticks.
+func (w *world) pass(d time.Duration) {
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.now = earlier(end, w.now.Add(200*time.Millisecond))
+		w.announce()
+		for _, u := range w.uses {
+			if u.streaming && !w.now.Before(later(u.deadline, u.confirmed).Add(LostAfter)) {
+				w.end(u, OutcomeAbandoned, true)
+			} else if u.sent && !u.streaming && !w.now.Before(u.deadline) {
+				w.end(u, OutcomeAbandoned, false)
+			}
+		}
+		w.pool.Tick(w.now)
+		w.collect()
+		w.prune()
+	}
+}
+
+func (w *world) announce() {
+	w.sequence++
+	for a, n := range w.slots {
+		_ = w.pool.Announce(w.now, Announcement{Service: "s", Address: a, Incarnation: 1, Sequence: w.sequence, Slots: n, State: Ready})
+	}
+}
+
+func (w *world) prune() {
+	for id, u := range w.uses {
+		if u.released && !w.working(u) || u.grant && !w.now.Before(u.deadline) || !w.live(u) && !w.working(u) {
+			delete(w.uses, id)
+		}
+	}
+}
+
+func (w *world) working(u *use) bool {
+	return u.sent && (u.workEnd.IsZero() || w.now.Before(u.workEnd))
+}
+
+func (w *world) restart(h string) {
+	for _, u := range w.uses {
+		if u.id.Holder == w.holder(h) && u.sent && !u.released {
+			u.workEnd = earlier(or(u.workEnd, w.now.Add(time.Hour)), w.now.Add(AbandonGrace))
+		}
+	}
+	w.inc[h]++
+	w.seen[h], w.frozen[h], w.started[h] = 0, false, w.now
+}
+
+func (w *world) freeze(h string) {
+	w.frozen[h] = !w.frozen[h]
+	for _, u := range w.uses {
+		if u.id.Holder == w.holder(h) && u.streaming && !u.released {
+			u.workEnd = time.Time{}
+			if w.frozen[h] {
+				u.workEnd = w.now.Add(stalled)
+			}
+		}
+	}
+}
+
+// answer lets a host tell the new coordinator what it holds.
+func (w *world) answer(h string) {
+	if w.frozen[h] {
+		return
+	}
+	w.seen[h] = w.term
+	var held []Held
+	for _, u := range w.uses {
+		switch {
+		case u.id.Holder != w.holder(h) || u.grant || !u.sent:
+		case u.released && w.working(u):
+			held = append(held, Held{u.id.Number, "s", u.target, w.now.Add(AbandonGrace)})
+		case !u.released:
+			held = append(held, Held{u.id.Number, "s", u.target, later(w.now, u.deadline).Add(StreamSilence)})
+		}
+	}
+	w.pool.HeldAnswer(w.now, w.holder(h), w.now.Sub(w.started[h]), held)
+}
+
+func (w *world) check(t rapid.TB) {
+	out := map[string]int{}
+	for _, u := range w.uses {
+		if w.working(u) {
+			out[u.target]++
+		}
+	}
+	for a, n := range out {
+		if n == w.slots[a] && w.term > 1 {
+			w.full++
+		}
+		if n > w.slots[a] {
+			t.Fatalf("%d requests outstanding at %s exceed its %d slots at %v", n, a, w.slots[a], w.now.Sub(start))
+		}
+	}
+}
+
+// Guards against more requests at a target than its slots, counted at the
+// targets themselves: with lost releases, late grants, restarted and frozen
+// holders, streams, abandoned requests and coordinators that change.
+func TestTargetsNeverExceedTheirSlots(t *testing.T) {
+	full := 0
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(rapid.IntRange(1, 2).Draw(t, "slots"), rapid.IntRange(1, 2).Draw(t, "slots"))
+		hosts := []string{"h1", "h2"}
+		acquire := func(t *rapid.T, h string) {
+			left := time.Duration(rapid.IntRange(100, 4000).Draw(t, "left")) * time.Millisecond
+			w.acquire(h, traffic.Class(rapid.IntRange(0, 1).Draw(t, "class")), left)
+		}
+		host := func(t *rapid.T) string { return rapid.SampledFrom(hosts).Draw(t, "host") }
+		each := func(f func(*use)) func(*rapid.T) {
+			return func(t *rapid.T) {
+				n := rapid.Uint64Range(max(w.number, 8)-7, max(w.number, 8)).Draw(t, "number")
+				for _, u := range w.uses {
+					if u.id.Number == n {
+						f(u)
+						return
+					}
+				}
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"acquire 1": func(t *rapid.T) { acquire(t, host(t)) },
+			"burst": func(t *rapid.T) {
+				h := host(t)
+				for range 4 {
+					acquire(t, h)
+					if u := w.uses[ID{w.holder(h), w.number}]; u != nil {
+						w.send(u)
+					}
+				}
+			},
+			"answers": func(*rapid.T) {
+				for _, h := range hosts {
+					w.answer(h)
+				}
+			},
+			"send 1":         each(w.send),
+			"send 2":         each(w.send),
+			"stream":         each(w.stream),
+			"renew":          each(w.renew),
+			"done":           each(func(u *use) { w.end(u, OutcomeDone, true) }),
+			"release lost":   each(func(u *use) { w.end(u, OutcomeDone, false) }),
+			"abandon":        each(func(u *use) { w.end(u, OutcomeAbandoned, true) }),
+			"failed":         each(func(u *use) { w.end(u, OutcomeFailed, true) }),
+			"pass":           func(t *rapid.T) { w.pass(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond) },
+			"pass long":      func(t *rapid.T) { w.pass(time.Duration(rapid.IntRange(3, 50).Draw(t, "s")) * time.Second) },
+			"restart":        func(t *rapid.T) { w.restart(host(t)) },
+			"hear restarted": func(t *rapid.T) { w.pool.HolderRestarted(w.now, w.holder(host(t))) },
+			"freeze or thaw": func(t *rapid.T) { w.freeze(host(t)) },
+			"failover":       func(*rapid.T) { w.failover(hosts); w.announce() },
+			"answer":         func(t *rapid.T) { w.answer(host(t)) },
+			"": func(t *rapid.T) {
+				w.collect()
+				w.check(t)
+			},
+		})
+		full += w.full
+	})
+	if full < 1000 {
+		t.Fatalf("targets were full after a failover only %d times, so the limit was hardly tested", full)
+	}
+}
+
+// Guards against a slot given away while a stalled stream still runs: its
+// holder is cut off from the coordinator, then frozen, then resumed.
+func TestStalledStream(t *testing.T) {
+	for _, renewed := range []bool{false, true} {
+		for cut := time.Duration(0); cut <= LostAfter; cut += 2 * time.Second {
+			for frozen := time.Duration(0); frozen <= stalled; frozen += 5 * time.Second {
+				w := newWorld(1)
+				w.pass(2 * time.Second)
+				w.acquire("h1", traffic.Short, 4*time.Second)
+				u := w.uses[ID{w.holder("h1"), w.number}]
+				w.send(u)
+				w.pass(4*time.Second - 200*time.Millisecond)
+				w.stream(u)
+				if renewed {
+					w.renew(u)
+				}
+				w.pass(cut)
+				w.freeze("h1")
+				w.rivals(t, frozen)
+				w.freeze("h1")
+				w.rivals(t, 20*time.Second)
+				if w.pool.targets[address(0)].outstanding > 1 {
+					t.Fatal("more permits than slots")
+				}
+			}
+		}
+	}
+}
+
+// rivals passes time while the other host asks for a slot all the time.
+func (w *world) rivals(t *testing.T, d time.Duration) {
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.pass(200 * time.Millisecond)
+		w.acquire("h2", traffic.Short, time.Second)
+		for _, u := range w.uses {
+			w.send(u) // does nothing before its grant
+		}
+		w.check(t)
+	}
+}
--- a/pkg/slots/limits.go
+++ b/pkg/slots/limits.go
@@ -1,6 +1,9 @@
 package slots
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// AnnounceLifetime is how long an announcement, or a load figure, counts
@@ -36,6 +39,9 @@
 	// remaining time counts as their expected wait.
 	recoveryQueueing = 2 * time.Second
 
+	// never is the expected wait where no slot will become free.
+	never = time.Duration(math.MaxInt64)
+
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 10 * time.Second
 )
