--- a/internal/entry/deliver.go
+++ b/internal/entry/deliver.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"net"
 	"net/http"
 	"time"
 
@@ -75,6 +74,7 @@
 	}
 	keepContentType(h)
 	h[HeaderOutcome] = []string{OutcomeDone}
+	s.x.body.beforeResponse(s.x.w)
 	s.x.metrics.hop.Update(time.Since(s.x.arrived) - s.x.elsewhere)
 	s.x.w.WriteHeader(s.response.StatusCode)
 }
@@ -188,19 +188,15 @@
 func (s *stream) close() {
 	s.release(slots.OutcomeAbandoned)
 	s.response.Body.Close()
-	if _, reading := s.a.upload.detach(); reading {
-		// The target answered before the caller ended its upload.
-		_ = http.NewResponseController(s.x.w).SetReadDeadline(time.Now())
-	}
+	s.a.upload.detach()
+	s.x.body.afterResponse(s.x.w)
 }
 
 // abort resets the caller's connection. A plain close would look like the
 // regular end of a response to an HTTP/1.0 caller.
 func abort(r *http.Request) {
-	if conn, ok := r.Context().Value(connKey{}).(net.Conn); ok {
-		if tcp, ok := conn.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
+	if conn, ok := r.Context().Value(connKey{}).(*callerConn); ok {
+		conn.reset()
 	}
 	panic(http.ErrAbortHandler)
 }
--- a/internal/node/base.go
+++ b/internal/node/base.go
@@ -48,6 +48,9 @@
 		return nil, err
 	}
 	telemetry.UseForKratos(b.log)
+	if host, _, err := net.SplitHostPort(id.peer); err == nil {
+		b.client.Bind(net.ParseIP(host))
+	}
 	if b.tracing, err = telemetry.NewTracing(id.program, id.host, id.traceFile); err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/test/faults/deployment_test.go
@@ -0,0 +1,201 @@
+package faults
+
+import (
+	"crypto/ed25519"
+	"encoding/base64"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/proc"
+	"github.com/hornbeamstack/hornbeamstack/internal/settings"
+	"github.com/hornbeamstack/hornbeamstack/pkg/bundle"
+)
+
+const (
+	bundleFile = "../../examples/demo.toml"
+	// patience bounds how long a test waits for a state that must come; it is no measured bound.
+	patience = 60 * time.Second
+)
+
+// binaries is the folder of the programs, built once for all tests.
+var binaries string
+
+func TestMain(m *testing.M) {
+	folder, err := os.MkdirTemp("", "hornbeam-faults-")
+	if err != nil {
+		panic(err)
+	}
+	build := exec.Command("go", "build", "-o", folder+"/", "../../cmd/hornbeam-entry", "../../cmd/hornbeam-control", "../../cmd/hornbeam-standin")
+	if out, err := build.CombinedOutput(); err != nil {
+		panic(fmt.Sprintf("build: %v: %s", err, out))
+	}
+	binaries = folder
+	status := m.Run()
+	_ = os.RemoveAll(folder)
+	os.Exit(status)
+}
+
+// deployment is the demo's deployment as processes.
+type deployment struct {
+	t       *testing.T
+	bundle  *bundle.Bundle
+	folder  string
+	files   map[string]string // settings by host
+	hosts   map[string]*proc.Process
+	targets []string // HTTP addresses
+	started []*proc.Process
+	network *network // nil without relays
+	keys    map[string]ed25519.PrivateKey
+	current *bundle.Bundle
+	root    bundle.Digest
+}
+
+// start runs all hosts and targets and rolls out the first version. With
+// relays, messages between hosts pass the test's network.
+func start(t *testing.T, relays bool) *deployment {
+	t.Helper()
+	text, err := os.ReadFile(bundleFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, found := bundle.Parse(bundleFile, text)
+	if err := found.Err(); err != nil {
+		t.Fatal(err)
+	}
+	d := &deployment{t: t, bundle: b, folder: t.TempDir(), hosts: map[string]*proc.Process{}, keys: map[string]ed25519.PrivateKey{}}
+	t.Cleanup(d.stop)
+	public := map[string]string{}
+	for i, name := range []string{"first", "second"} {
+		key := ed25519.NewKeyFromSeed([]byte(strings.Repeat(string(rune('a'+i)), ed25519.SeedSize)))
+		d.keys[name] = key
+		public[name] = base64.StdEncoding.EncodeToString(key.Public().(ed25519.PublicKey))
+	}
+	if d.files, err = settings.WriteForBundle(d.folder, b, public); err != nil {
+		t.Fatal(err)
+	}
+	if relays {
+		d.addRelays()
+	}
+	for _, h := range b.Hosts {
+		d.run(h.Name, h.Role == bundle.RoleControl)
+	}
+	d.startTargets()
+	d.mustRollout(b)
+	d.waitServing()
+	return d
+}
+
+// run starts a host; founding is for the first start of control hosts.
+func (d *deployment) run(host string, founding bool) {
+	d.t.Helper()
+	program, args := "hornbeam-entry", []string{"--settings", d.files[host]}
+	if d.host(host).Role == bundle.RoleControl {
+		program = "hornbeam-control"
+	}
+	if founding {
+		args = append(args, "--founding")
+	}
+	p, err := proc.Start(d.folder, host, filepath.Join(binaries, program), args...)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.hosts[host] = p
+	d.started = append(d.started, p)
+}
+
+func (d *deployment) host(name string) bundle.Host {
+	for _, h := range d.bundle.Hosts {
+		if h.Name == name {
+			return h
+		}
+	}
+	d.t.Fatalf("host %q is not in the bundle", name)
+	return bundle.Host{}
+}
+
+// names returns the hosts of a role, of one zone or of all.
+func (d *deployment) names(role bundle.Role, zone string) []string {
+	var out []string
+	for _, h := range d.bundle.Hosts {
+		if h.Role == role && (zone == "" || h.AvailabilityZone == zone) {
+			out = append(out, h.Name)
+		}
+	}
+	return out
+}
+
+// inZone returns all hosts of a zone and all others.
+func (d *deployment) inZone(zone string) (inside, outside []string) {
+	for _, h := range d.bundle.Hosts {
+		if h.AvailabilityZone == zone {
+			inside = append(inside, h.Name)
+		} else {
+			outside = append(outside, h.Name)
+		}
+	}
+	return inside, outside
+}
+
+// addRelays moves each host's peer port and puts a relay at the published address.
+func (d *deployment) addRelays() {
+	d.network = newNetwork()
+	for _, h := range d.bundle.Hosts {
+		ip, _, _ := strings.Cut(h.Peer, ":")
+		d.network.byIP[ip] = h.Name
+		real := ip + ":17000"
+		text, err := os.ReadFile(d.files[h.Name])
+		if err != nil {
+			d.t.Fatal(err)
+		}
+		// Only the host's own line changes; others keep the published address.
+		changed := strings.Replace(string(text), "peer = \""+h.Peer+"\"", "peer = \""+real+"\"", 1)
+		if err := os.WriteFile(d.files[h.Name], []byte(changed), 0o644); err != nil {
+			d.t.Fatal(err)
+		}
+		startRelay(d.t, d.network, h.Name, h.Peer, real)
+	}
+}
+
+func (d *deployment) startTargets() {
+	for i, z := range d.bundle.Zones {
+		network, _, _ := strings.Cut(z.TargetPrefixes[0], "/")
+		for k, s := range d.bundle.Services {
+			address := fmt.Sprintf("%s%d:9000", network[:strings.LastIndexByte(network, '.')+1], 10+k)
+			args := []string{"--address", address, "--service", s.Name, "--zone", z.Name, "--slots", fmt.Sprint(s.Slots),
+				"--connections", "100", "--mean-work", "10ms", "--seed", fmt.Sprint(10*i + k + 1)}
+			for _, name := range d.names(bundle.RoleEntry, z.Name) {
+				args = append(args, "--entry", d.host(name).HTTP)
+			}
+			p, err := proc.Start(d.folder, fmt.Sprintf("target-%s-%s", z.Name, s.Name), filepath.Join(binaries, "hornbeam-standin"), args...)
+			if err != nil {
+				d.t.Fatal(err)
+			}
+			d.started = append(d.started, p)
+			d.targets = append(d.targets, address)
+		}
+	}
+}
+
+func (d *deployment) stop() {
+	for _, p := range d.started {
+		if p.Running() {
+			_ = p.Resume()
+			p.Kill()
+		}
+	}
+	if !d.t.Failed() {
+		return
+	}
+	for _, p := range d.started {
+		text, err := os.ReadFile(p.Log)
+		if err == nil && len(text) > 0 {
+			lines := strings.Split(strings.TrimSpace(string(text)), "\n")
+			d.t.Logf("last lines of %s:\n%s", p.Name, strings.Join(lines[max(0, len(lines)-6):], "\n"))
+		}
+	}
+}
