--- a/internal/claims/copy.go
+++ b/internal/claims/copy.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
 
 	"github.com/hornbeamstack/hornbeamstack/internal/peer"
 	"github.com/hornbeamstack/hornbeamstack/pkg/claim"
+	"golang.org/x/sync/errgroup"
 )
 
 // copy serves one step of the copy to a store that lost its disk.
@@ -21,42 +23,63 @@
 	serves := s.gate.Serves(req)
 	s.gateMu.RUnlock()
 	if req.Step != claim.CopyPage {
+		reply.Count = s.Len()
 		return reply, nil
 	}
-	if !serves || req.Page < 0 || req.Page >= shardCount {
-		return claim.CopyReply{}, fmt.Errorf("store %s does not serve page %d to %s", s.o.Name, req.Page, req.Store)
+	if !serves || req.Parts < 1 || req.Page < 0 || req.Page >= shardCount*req.Parts {
+		return claim.CopyReply{}, fmt.Errorf("store %s does not serve page %d of %d parts to %s", s.o.Name, req.Page, req.Parts, req.Store)
 	}
-	sh := s.shards[req.Page]
+	sh := s.shards[req.Page%shardCount]
 	sh.mu.Lock()
-	reply.Records, reply.Pages = sh.store.Records(), shardCount
+	for _, kr := range sh.store.Records() {
+		if partOf(kr.Key, req.Parts) == req.Page/shardCount {
+			reply.Records = append(reply.Records, kr)
+		}
+	}
 	sh.mu.Unlock()
 	return reply, nil
 }
 
+// partOf divides the keys of a shard by the last bytes of the key, which are random.
+func partOf(k claim.Key, parts int) int {
+	return int(binary.BigEndian.Uint32(k.ID[12:]) % uint32(parts))
+}
+
 func (s *StoreService) askCopy(ctx context.Context, to Store, req claim.CopyRequest) (claim.CopyReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
 	return peer.Call[claim.CopyRequest, claim.CopyReply](ctx, s.o.Peers, to.Peer, "claim.copy", req)
 }
 
-// copyFrom takes over all records of a store that has recorded our fence, and
-// returns the last page.
+// copyFrom takes over all records of a store that has recorded our fence. It
+// returns the store's own fence, which must be the same on all pages, and the
+// fences that the store knows.
 func (s *StoreService) copyFrom(ctx context.Context, from Store, fence claim.Fence) (claim.CopyReply, error) {
-	var last claim.CopyReply
-	for page, pages := 0, 1; page < pages; page++ {
-		reply, err := s.askCopy(ctx, from, claim.CopyRequest{Store: s.o.Name, Fence: fence, Step: claim.CopyPage, Page: page})
-		if err != nil {
-			return last, err
-		}
-		if page > 0 && reply.Fence != last.Fence {
-			return last, fmt.Errorf("store %s lost its disk during the copy", from.Name)
-		}
-		if err := s.take(reply); err != nil {
-			return last, err
-		}
-		last, pages = reply, reply.Pages
+	req := claim.CopyRequest{Store: s.o.Name, Fence: fence, Step: claim.CopyStatus}
+	status, err := s.askCopy(ctx, from, req)
+	if err != nil {
+		return status, err
+	}
+	req.Step, req.Parts = claim.CopyPage, 1+status.Count/(shardCount*pageRecords)
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(copyCalls)
+	for page := range shardCount * req.Parts {
+		req := req
+		req.Page = page
+		group.Go(func() error { return s.copyPage(ctx, from, status.Fence, req) })
+	}
+	return status, group.Wait()
+}
+
+func (s *StoreService) copyPage(ctx context.Context, from Store, source claim.Fence, req claim.CopyRequest) error {
+	reply, err := s.askCopy(ctx, from, req)
+	if err != nil {
+		return err
+	}
+	if reply.Fence != source {
+		return fmt.Errorf("store %s lost its disk during the copy", from.Name)
 	}
-	return last, nil
+	return s.take(reply)
 }
 
 // take merges one page and waits until it is on disk.
--- a/internal/claims/join.go
+++ b/internal/claims/join.go
@@ -78,12 +78,12 @@
 	if s.Ready() || !j.Registered(o.Name) || j.HasCopied(o.Name) {
 		return j.Registered(o.Name)
 	}
-	last, err := s.copyFrom(ctx, o, j.Fence())
+	source, err := s.copyFrom(ctx, o, j.Fence())
 	if err != nil {
 		s.o.Logger.Debug("claim copy failed", "store", s.o.Name, "from", o.Name, "err", err)
 		return true
 	}
-	j.Copied(o.Name, last.Fence, last.Known)
+	j.Copied(o.Name, source.Fence, source.Known)
 	return true
 }
 
--- a/internal/claims/journal.go
+++ b/internal/claims/journal.go
@@ -18,6 +18,7 @@
 	queue  [][]byte
 	added  uint64 // index of the last record that was added
 	synced uint64 // index of the last record on disk
+	size   int    // bytes on disk since the last snapshot
 	failed error
 	closed bool
 	wake   *sync.Cond // records were added, or close
@@ -66,6 +67,19 @@
 	return j.synced
 }
 
+// bytes returns the size of the records since the last call of snapshotted.
+func (j *journal) bytes() int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.size
+}
+
+func (j *journal) snapshotted() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.size = 0
+}
+
 func (j *journal) close() {
 	j.mu.Lock()
 	j.closed = true
@@ -83,7 +97,7 @@
 			return
 		}
 		err := j.log.Append(first, batch)
-		if !j.written(uint64(len(batch)), err) {
+		if !j.written(batch, err) {
 			return
 		}
 	}
@@ -111,13 +125,16 @@
 
 // written notes the result of a batch. After a failure nothing is written any
 // more: memory is ahead of the disk, so no later reply may be trusted.
-func (j *journal) written(n uint64, err error) bool {
+func (j *journal) written(batch [][]byte, err error) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if err != nil {
 		j.failed = err
 	} else {
-		j.synced += n
+		j.synced += uint64(len(batch))
+		for _, record := range batch {
+			j.size += len(record)
+		}
 	}
 	j.done.Broadcast()
 	return err == nil
--- a/internal/claims/run.go
+++ b/internal/claims/run.go
@@ -14,10 +14,17 @@
 	registerInterval = 5 * time.Second
 	// copyTimeout bounds one step of a copy.
 	copyTimeout = 5 * time.Second
+	// pageRecords is the number of records in a page of a copy, about: even with
+	// the largest bodies a page stays below the largest message of 128 MiB.
+	pageRecords = 1000
+	// copyCalls is the number of pages that are asked for at a time.
+	copyCalls = 8
 	// keepInterval is the time between checks for old records and for the size of the log.
 	keepInterval = time.Minute
 	// snapshotEvery is the number of records after which a snapshot is taken.
 	snapshotEvery = 100_000
+	// snapshotBytes is the size of records after which a snapshot is taken; records may hold 64 KiB bodies.
+	snapshotBytes = 256 << 20
 )
 
 // Run joins the store if its disk is new, drops old records and takes
@@ -45,7 +52,7 @@
 		s.o.Logger.Error("claim records not dropped", "store", s.o.Name, "err", err)
 		return
 	}
-	if s.journal.last()-s.snapshotAt.Load() < snapshotEvery {
+	if s.journal.last()-s.snapshotAt.Load() < snapshotEvery && s.journal.bytes() < snapshotBytes {
 		return
 	}
 	if err := s.saveSnapshot(); err != nil {
--- a/internal/claims/snapshot.go
+++ b/internal/claims/snapshot.go
@@ -66,5 +66,6 @@
 		return fmt.Errorf("save claim snapshot at index %d: %w", index, err)
 	}
 	s.snapshotAt.Store(index)
+	s.journal.snapshotted()
 	return nil
 }
--- a/internal/links/lease.go
+++ b/internal/links/lease.go
@@ -8,7 +8,9 @@
 	"github.com/hornbeamstack/hornbeamstack/pkg/link"
 )
 
-// kickInterval is the shortest time between lease requests.
+// kickInterval is the shortest time between lease requests. After a refused
+// demand the next request waits for the regular renewal, so that starving
+// hosts do not flood a leader that may not lease yet.
 const kickInterval = 50 * time.Millisecond
 
 // Run renews the leases until ctx ends.
@@ -17,7 +19,10 @@
 	defer tick.Stop()
 	for {
 		l.refresh()
-		l.renew(ctx)
+		kick := l.kick
+		if !l.renew(ctx) {
+			kick = nil
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -26,21 +31,19 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-l.kick:
+		case <-kick:
 		case <-tick.C:
 		}
 	}
 }
 
-// renew asks the leader once. Without a reply the leases run out.
-func (l *Limiter) renew(ctx context.Context) {
+// renew asks the leader once. Without a reply the leases run out. It returns
+// false if a demand was not met at all.
+func (l *Limiter) renew(ctx context.Context) (met bool) {
 	addr, ok := l.leader()
-	if !ok {
-		return
-	}
 	pipes := l.all()
-	if len(pipes) == 0 {
-		return
+	if !ok || len(pipes) == 0 {
+		return false
 	}
 	req := link.LeaseRequest{Host: l.host}
 	for _, p := range pipes {
@@ -52,12 +55,15 @@
 	until := l.now().Add(link.LeaseUse)
 	reply, err := peer.Call[link.LeaseRequest, link.LeaseReply](ctx, l.peers, addr, "link.lease", req)
 	if err != nil || len(reply.Shares) != len(pipes) {
-		return
+		return false
 	}
+	met = true
 	for i, p := range pipes {
+		met = met && (reply.Shares[i] > 0 || req.Asks[i].Demand == 0)
 		lease := link.Lease{BytesPerSecond: max(reply.Shares[i], 0), Until: until}
 		p.update(func(s *link.Shaper, now time.Time) { s.SetLease(now, lease) })
 	}
+	return met
 }
 
 func (l *Limiter) all() []*pipe {
--- a/pkg/claim/copy.go
+++ b/pkg/claim/copy.go
@@ -24,6 +24,8 @@
 	Fence Fence    `cbor:"2,keyasint"`
 	Step  CopyStep `cbor:"3,keyasint"`
 	Page  int      `cbor:"4,keyasint,omitempty"`
+	// Parts divides each shard into so many pages; the same for all pages of a copy.
+	Parts int `cbor:"5,keyasint,omitempty"`
 }
 
 // CopyReply answers a CopyRequest.
@@ -34,7 +36,7 @@
 	// Met is the fence that the replying store knows of the requester.
 	Met     *Fence           `cbor:"4,keyasint,omitempty"`
 	Records []KeyRecord      `cbor:"5,keyasint,omitempty"`
-	Pages   int              `cbor:"6,keyasint,omitempty"`
+	Count   int              `cbor:"6,keyasint,omitempty"` // records of the replying store
 	Horizon time.Time        `cbor:"7,keyasint"`
 	Known   map[string]Fence `cbor:"8,keyasint,omitempty"`
 }
