--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -76,6 +76,7 @@
 	service *StoreService
 	stop    func()
 	down    atomic.Bool
+	ended   chan error // result of Run
 }
 
 func startCluster(t testing.TB, n int) *cluster {
@@ -122,7 +123,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() { _ = srv.Serve(ctx, l) })
-	wg.Go(func() { _ = n.service.Run(ctx) })
+	n.ended = make(chan error, 1)
+	service, ended := n.service, n.ended
+	wg.Go(func() { ended <- service.Run(ctx) })
 	n.down.Store(false)
 	n.stop = sync.OnceFunc(func() { n.down.Store(true); cancel(); _ = l.Close(); peers.Close(); wg.Wait() })
 	c.t.Cleanup(n.stop)
--- a/internal/claims/fault_test.go
+++ b/internal/claims/fault_test.go
@@ -68,6 +68,7 @@
 				_, err := c.nodes[0].service.vote(ctx, "", claim.VoteRequest{Key: k, Attempt: claim.Attempt{Host: "x"}})
 				So(err, ShouldNotBeNil)
 			}
+			So((<-c.nodes[0].ended).Error(), ShouldContainSubstring, "disk full")
 			disk.mu.Lock()
 			disk.fail = nil
 			disk.mu.Unlock()
--- a/internal/claims/run.go
+++ b/internal/claims/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/hornbeamstack/hornbeamstack/pkg/claim"
@@ -28,18 +29,23 @@
 )
 
 // Run joins the store if its disk is new, drops old records and takes
-// snapshots, until ctx ends. Votes that are waiting for the log then fail.
+// snapshots, until ctx ends or the log fails. Votes that are waiting for the
+// log then fail, and so do all later ones.
 func (s *StoreService) Run(ctx context.Context) error {
 	defer s.journal.close()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	joined := make(chan struct{})
 	go func() { defer close(joined); s.join(ctx) }()
-	defer func() { <-joined }()
+	defer func() { cancel(); <-joined }()
 	tick := time.NewTicker(keepInterval)
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-s.journal.ended:
+			return s.journal.wait(math.MaxUint64)
 		case <-tick.C:
 			s.keep()
 		}
