--- a/internal/history/machine_test.go
+++ b/internal/history/machine_test.go
@@ -146,6 +146,12 @@
 			So(err, ShouldBeNil)
 			So(apply(t, m, data).Message, ShouldContainSubstring, "signed root")
 			So(apply(t, m, []byte("garbage")).Outcome, ShouldEqual, Refused)
+			resent, err := bundle.DecodeSigned(first)
+			So(err, ShouldBeNil)
+			resent.Header.Signature[0] ^= 1
+			data, err = resent.Encode()
+			So(err, ShouldBeNil)
+			So(apply(t, m, data).Outcome, ShouldEqual, Refused)
 			So(m.Current().Header.Version, ShouldEqual, 1)
 		})
 		Convey("content with findings is refused with the findings", func() {
--- a/internal/rollout/distributor.go
+++ b/internal/rollout/distributor.go
@@ -68,7 +68,7 @@
 	defer wg.Wait()
 	ticker := time.NewTicker(leaderCheckInterval)
 	defer ticker.Stop()
-	offered := uint64(0) // newest version offered during this leadership
+	offered := uint64(0) // newest version that this host offered
 	for {
 		select {
 		case <-ctx.Done():
@@ -77,7 +77,6 @@
 		case <-ticker.C:
 		}
 		if !d.isLeader() {
-			offered = 0
 			continue
 		}
 		f, version := d.fanOut()
--- a/internal/rollout/holder_test.go
+++ b/internal/rollout/holder_test.go
@@ -138,6 +138,21 @@
 			So(err, ShouldNotBeNil)
 			So(h.Current().Bundle.Deployment, ShouldEqual, "demo")
 		})
+		Convey("a delta from another root is a gap, which a pull closes", func() {
+			other := *example(t, "demo.toml")
+			other.Services = nil
+			signed, err := bundle.NewSigned(bundle.Sign(1, bundle.Digest{}, other.Root(), "ann", annKey), &other, nil)
+			So(err, ShouldBeNil)
+			foreign := NewHolder(annOnly)
+			_, err = foreign.Put(signed)
+			So(err, ShouldBeNil)
+			_, err = foreign.Put(all[1])
+			So(errors.Is(err, bundle.ErrGap), ShouldBeTrue)
+			_, err = h.Put(all[1])
+			So(err, ShouldBeNil)
+			pull(t, h, foreign)
+			So(foreign.Current().Root, ShouldEqual, h.Current().Root)
+		})
 		Convey("a host that is far behind gets one snapshot", func() {
 			source := NewHolder(annOnly)
 			for _, signed := range versions(t, example(t, "demo.toml"), spread.KeptDeltas+10) {
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -49,6 +49,19 @@
 	})
 }
 
+// TestLateReports guards against an acknowledgement that a late, older report takes back.
+func TestLateReports(t *testing.T) {
+	Convey("A report of an older version right after a newer one is not taken", t, func() {
+		f := newFleet(t, example(t, "demo.toml"))
+		name := f.hosts[0].name
+		f.dist.note(Status{Host: name, Version: 7})
+		f.dist.note(Status{Host: name, Version: 6})
+		So(f.dist.Missing([]string{name}, 7), ShouldBeEmpty)
+		So(f.dist.Missing([]string{name, "other"}, 7), ShouldResemble, []string{"other"})
+		So(f.dist.Hosts()[name].Version, ShouldEqual, 7)
+	})
+}
+
 // TestMissedVersions guards against a host that stays behind after hundreds of missed versions.
 func TestMissedVersions(t *testing.T) {
 	Convey("Given a fleet in which no offers are sent for 300 versions", t, func() {
--- a/pkg/bundle/delta.go
+++ b/pkg/bundle/delta.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"slices"
 	"strings"
 )
 
@@ -53,8 +52,10 @@
 		}
 		own := rest[:n]
 		rest = rest[n:]
-		if !slices.IsSortedFunc(own, func(x, y Change) int { return strings.Compare(x.Key, y.Key) }) {
-			return nil, fmt.Errorf("records of kind %s are not in order", k.name())
+		for i := 1; i < n; i++ {
+			if own[i-1].Key >= own[i].Key {
+				return nil, fmt.Errorf("record %s is not in order or occurs twice", own[i].Key)
+			}
 		}
 		if err := k.apply(from, next, own); err != nil {
 			return nil, err
