--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -14,6 +14,7 @@
 // the first failure; the client then opens a new one on demand.
 type session struct {
 	addr    string
+	local   *net.TCPAddr
 	traffic *Traffic
 	onEnd   func(*session)
 	queue   chan *envelope
@@ -26,9 +27,9 @@
 	err      error
 }
 
-func newSession(addr string, traffic *Traffic, onEnd func(*session)) *session {
+func newSession(addr string, local *net.TCPAddr, traffic *Traffic, onEnd func(*session)) *session {
 	return &session{
-		addr: addr, traffic: traffic, onEnd: onEnd,
+		addr: addr, local: local, traffic: traffic, onEnd: onEnd,
 		queue:    make(chan *envelope, sendQueueLength),
 		done:     make(chan struct{}),
 		pending:  map[uint64]chan *envelope{},
@@ -39,6 +40,9 @@
 // run dials, then sends queued messages until the session ends.
 func (s *session) run() {
 	dialer := net.Dialer{Timeout: dialTimeout}
+	if s.local != nil {
+		dialer.LocalAddr = s.local
+	}
 	tcp, err := dialer.Dial("tcp", s.addr)
 	if err != nil {
 		s.fail(&DialError{Addr: s.addr, Err: err})
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -20,7 +20,9 @@
 	counts    *counts
 	worker    *worker
 	announcer *announcer
-	stop      context.CancelFunc
+	stop      context.CancelFunc // ends the announcements
+	life      context.Context    // ends all work
+	end       context.CancelFunc
 	ended     sync.WaitGroup
 
 	mu    sync.Mutex
@@ -37,6 +39,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("stand-in target: %w", err)
 	}
+	if c.Wrap != nil {
+		listener = c.Wrap(listener)
+	}
 	t := &Target{config: c, address: listener.Addr().String(), counts: newCounts(), fault: c.Fault}
 	t.worker = newWorker(c.Slots, c.MeanWork, c.Seed)
 	t.announcer = newAnnouncer(t)
@@ -47,6 +52,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.stop = cancel
+	t.life, t.end = context.WithCancel(context.Background())
 	t.ended.Go(func() { _ = t.server.Serve(listener) })
 	t.ended.Go(func() { t.announcer.run(ctx) })
 	return t, nil
@@ -103,6 +109,7 @@
 	if err != nil {
 		t.server.Close()
 	}
+	t.end()
 	t.ended.Wait()
 	return err
 }
@@ -110,6 +117,7 @@
 // Kill closes all connections at once and announces nothing, as a crash would.
 func (t *Target) Kill() {
 	t.stop()
+	t.end()
 	t.server.Close()
 	t.ended.Wait()
 }
--- a/pkg/slots/acquire.go
+++ b/pkg/slots/acquire.go
@@ -50,14 +50,14 @@
 	if t.suspect() {
 		t.probeAt = now.Add(probeInterval)
 	}
-	p.permits[r.ID] = &permit{id: r.ID, target: t, since: now, expires: r.Deadline.Add(DeadlineMargin)}
+	p.permits[r.ID] = &permit{id: r.ID, target: t, since: now, expires: r.Deadline.Add(StreamSilence)}
 	return Grant{ID: r.ID, Target: t.address}
 }
 
 // expectedWait estimates when a request that joins the queue would get its slot.
 func (p *Pool) expectedWait(now time.Time, s *service, r Request) time.Duration {
 	if p.policy.Drained {
-		return maxRetryAfter
+		return never
 	}
 	if p.Recovering() && now.Sub(p.started) >= recoveryQueueing {
 		return p.recoveryEnd().Sub(now)
@@ -69,7 +69,7 @@
 		if now.Sub(p.started) < AnnounceLifetime {
 			return 0 // targets have not had time to announce themselves to this term
 		}
-		return maxRetryAfter
+		return never
 	}
 	if s.queue.empty() {
 		return s.flow.gap
