Start later requests of a command with a control host that answered

Cause: a frozen leader delayed each of the two requests of a drain by 1 s. Change: the host that answered a read is asked first from then on.

--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/hornbeamstack/hornbeamstack/internal/controlapi"
@@ -80,6 +81,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	c.askFirst(r.answeredBy)
 	var exit *exitError
 	switch {
 	case r.body != nil:
@@ -90,6 +92,14 @@
 	return failed("no control host answered: %w", r.err)
 }
 
+// askFirst makes later requests start with a host that answered, so that one
+// that hangs delays a command only once.
+func (c *client) askFirst(addr string) {
+	if i := slices.Index(c.addrs, addr); i > 0 {
+		c.addrs = append([]string{addr}, slices.Delete(slices.Clone(c.addrs), i, i+1)...)
+	}
+}
+
 // submit sends a signed bundle until a control host gives a definite answer.
 // After a lost response it sends the same content to another control host,
 // which gives the same answer as the first would have.
--- a/internal/ctl/reading.go
+++ b/internal/ctl/reading.go
@@ -13,11 +13,12 @@
 	until time.Time // a stale answer is taken after it
 	hosts int
 
-	mu     sync.Mutex
-	body   []byte // best answer so far
-	failed map[string]bool
-	err    error
-	done   bool
+	mu         sync.Mutex
+	body       []byte // best answer so far
+	answeredBy string
+	failed     map[string]bool
+	err        error
+	done       bool
 }
 
 // note takes an answer and reports whether asking on is of no use.
@@ -35,7 +36,7 @@
 	isRemote := errors.As(err, &remote)
 	switch {
 	case err == nil:
-		r.body, r.done = body, !mark.Stale || time.Now().After(r.until)
+		r.body, r.answeredBy, r.done = body, addr, !mark.Stale || time.Now().After(r.until)
 	case isRemote && remote.Code == controlapi.CodeNotFound:
 		r.body, r.err, r.done = nil, &exitError{ExitFailed, err}, true
 	case isRemote && remote.Code == controlapi.CodeBadRequest:
