Test the agreement against faults and fix repeated admission

Cause: the step function had no tests of its own. Found and fixed: a learner whose admission was in its own log but never committed stopped asking for admission and stayed out; Status.Admitted now needs a committed membership. The first check of leader completeness also held late leaders of earlier terms to it; it now names the term of the commit.

--- a/internal/replica/join.go
+++ b/internal/replica/join.go
@@ -23,7 +23,7 @@
 	ticker := time.NewTicker(joinInterval)
 	defer ticker.Stop()
 	for {
-		if !g.isMember() {
+		if !g.snapshotStatus().Admitted {
 			if err := g.found(); err != nil {
 				g.config.Log.Info("not a member yet", "reason", err)
 			}
@@ -37,8 +37,6 @@
 	}
 }
 
-func (g *Group) isMember() bool { return g.snapshotStatus().Members.Has(g.self) }
-
 // askAdmission tells all listed members of this incarnation; the leader acts on it.
 func (g *Group) askAdmission() {
 	for _, m := range g.config.Members {
@@ -52,6 +50,9 @@
 
 // found starts the history if all listed members are empty.
 func (g *Group) found() error {
+	if g.hasHistory() {
+		return nil
+	}
 	founder := slices.MinFunc(g.config.Members, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
 	if founder.Name != g.self.Name {
 		return fmt.Errorf("waiting for %s to found the group or for admission", founder.Name)
@@ -80,6 +81,12 @@
 	return <-result
 }
 
+func (g *Group) hasHistory() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.begun
+}
+
 // hello asks a member who it is.
 func (g *Group) hello(ctx context.Context, m Member) (wireReply, error) {
 	reply, err := peer.Call[wireRequest, wireReply](ctx, g.config.Client, m.Peer, method, wireRequest{Kind: wireHello})
--- /dev/null
+++ b/pkg/agree/property_test.go
@@ -0,0 +1,154 @@
+package agree
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func init() {
+	// A fixed seed repeats the same runs; flags on the command line take precedence.
+	_ = flag.Set("rapid.seed", "20261204")
+	_ = flag.Set("rapid.nofailfile", "true")
+	_ = flag.Set("rapid.steps", "60")
+}
+
+// groupRun drives a simulated group through faults.
+type groupRun struct {
+	*sim
+	minority bool // lose disks of a minority at a time only, so that the group must recover
+}
+
+// event is one fault or client call on a host. It does nothing if it does not apply.
+type event struct {
+	name string
+	do   func(r *groupRun, v *server)
+}
+
+var events = []event{
+	{"write", func(r *groupRun, v *server) { r.ifLeading(v, r.propose) }},
+	{"read", func(r *groupRun, v *server) { r.ifLeading(v, r.read) }},
+	{"compact", func(r *groupRun, v *server) { r.ifUp(v, r.compact) }},
+	{"crash before save", func(r *groupRun, v *server) { v.crash = beforeSave }},
+	{"crash before send", func(r *groupRun, v *server) { v.crash = beforeSend }},
+	{"crash before apply", func(r *groupRun, v *server) { v.crash = beforeApply }},
+	{"restart", func(r *groupRun, v *server) { r.start(v) }},
+	{"freeze", func(r *groupRun, v *server) { v.frozen = true }},
+	{"thaw", func(r *groupRun, v *server) { v.frozen = false }},
+	{"isolate", func(r *groupRun, v *server) { v.isolated = true }},
+	{"return", func(r *groupRun, v *server) { v.isolated = false }},
+	{"isolate leader", func(r *groupRun, v *server) { r.ifLeading(v, func(v *server) { v.isolated = true }) }},
+	{"lose disk", (*groupRun).loseDisk},
+}
+
+func (r *groupRun) ifUp(v *server, do func(*server)) {
+	if v.node != nil && !v.frozen {
+		do(v)
+	}
+}
+
+// ifLeading also accepts a host that takes itself for the leader wrongly.
+func (r *groupRun) ifLeading(v *server, do func(*server)) {
+	if v.node != nil && !v.frozen && v.node.role == Leader {
+		do(v)
+	}
+}
+
+func (r *groupRun) loseDisk(v *server) {
+	if !r.minority || !r.voters().IsVoter(v.id) || r.unrepaired()+1 <= (len(r.servers)-1)/2 {
+		r.renew(v)
+	}
+}
+
+// storm lets time pass with calls and events; percent is the share of steps
+// with an event. Repairs are as frequent, so that the group makes progress in between.
+func (r *groupRun) storm(steps, percent int) {
+	for range steps {
+		r.run(1)
+		v := r.servers[r.rand.IntN(len(r.servers))]
+		switch n := r.rand.IntN(100); {
+		case n < percent:
+			events[r.rand.IntN(len(events))].do(r, v)
+		case n < 2*percent:
+			v.isolated, v.frozen = false, false
+			if v.node == nil {
+				r.start(v)
+			}
+		case n < 2*percent+20:
+			r.ifLeading(v, r.propose)
+		case n < 2*percent+25:
+			r.ifLeading(v, r.read)
+		}
+	}
+}
+
+func (r *groupRun) network(t *rapid.T) {
+	r.loss = rapid.SampledFrom([]float64{0.02, 0, 0.1, 0.3}).Draw(t, "loss")
+	r.late = rapid.SampledFrom([]float64{0.3, 0.8, 0, 0.95}).Draw(t, "late")
+}
+
+func (r *groupRun) actions() map[string]func(*rapid.T) {
+	actions := map[string]func(*rapid.T){
+		"run": func(t *rapid.T) { r.run(rapid.SampledFrom([]int{30, 5, 100, 1}).Draw(t, "steps")) },
+		"storm": func(t *rapid.T) {
+			r.storm(rapid.SampledFrom([]int{300, 1000}).Draw(t, "steps"), rapid.SampledFrom([]int{3, 10, 30}).Draw(t, "percent"))
+		},
+		"network": r.network,
+		"long time": func(t *rapid.T) {
+			r.now += time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms")) * time.Millisecond
+		},
+		"": func(t *rapid.T) {
+			if r.problem != "" {
+				t.Fatal(r.problem)
+			}
+		},
+	}
+	for _, e := range events {
+		actions[e.name] = func(t *rapid.T) {
+			e.do(r, r.servers[rapid.IntRange(0, len(r.servers)-1).Draw(t, "host")])
+		}
+	}
+	return actions
+}
+
+// TestAgreement guards against two histories, lost acknowledged records, stale
+// reads and overlapping leases, under lost, repeated, reordered and late
+// messages, crashes at every point of an output, lost disks, freezes and isolation.
+func TestAgreement(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.SampledFrom([]int{3, 5, 4, 1}).Draw(t, "hosts")
+		r := &groupRun{sim: newSim(rapid.Uint64().Draw(t, "seed"), n), minority: rapid.Bool().Draw(t, "minority")}
+		r.run(100)
+		r.network(t)
+		t.Repeat(r.actions())
+		r.heal()
+		r.run(1000)
+		if r.minority {
+			r.mustWork(t)
+		}
+		if r.problem != "" {
+			t.Fatal(r.problem)
+		}
+	})
+}
+
+// mustWork checks that the healed group is repaired and accepts commands everywhere.
+func (r *groupRun) mustWork(t *rapid.T) {
+	if n := r.unrepaired(); n > 0 {
+		t.Fatalf("%d hosts are no voters 20 s after the last fault: %+v", n, r.voters())
+	}
+	for _, v := range r.servers {
+		if v.node.role == Leader {
+			r.propose(v)
+		}
+	}
+	r.run(50)
+	for _, v := range r.servers {
+		if v.value != fmt.Sprint(r.values) {
+			t.Fatalf("%s holds %q instead of the last command", v.id, v.value)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/agree/sim_test.go
@@ -0,0 +1,336 @@
+package agree
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// disk is what a server has made durable.
+type disk struct {
+	state    HardState
+	snapshot Snapshot
+	entries  []Entry
+}
+
+func (d *disk) save(o *Output) {
+	if o.State != nil {
+		d.state = *o.State
+	}
+	if o.Install != nil {
+		d.snapshot, d.entries = *o.Install, nil
+	}
+	if len(o.Entries) > 0 {
+		keep := o.Entries[0].Index - d.snapshot.Index - 1
+		d.entries = append(slices.Clone(d.entries[:keep]), o.Entries...)
+	}
+}
+
+// crashPoint is a place in the handling of an output.
+type crashPoint int
+
+const (
+	noCrash crashPoint = iota
+	beforeSave
+	beforeSend
+	beforeApply
+)
+
+// server is one simulated host.
+type server struct {
+	id       ID
+	disk     *disk
+	node     *Node // nil while the host is down
+	frozen   bool
+	isolated bool
+	crash    crashPoint // taken with the next output
+	offset   time.Duration
+	applied  uint64
+	value    string            // state machine: the last command
+	reads    map[uint64]uint64 // number of committed entries when a read was asked for
+}
+
+// sim runs servers over a network and a clock that it controls.
+type sim struct {
+	rand    *rand.Rand
+	now     time.Duration
+	servers []*server
+	queue   []Message
+	loss    float64 // share of messages lost, and of those repeated
+	late    float64 // share of messages kept for another step
+	values  int
+	lives   int
+	readID  uint64
+
+	committed []Entry  // the one history, index 1 first
+	terms     []uint64 // in which each entry was seen committed first
+	leaders   map[uint64]ID
+	problem   string
+}
+
+func newSim(seed uint64, n int) *sim {
+	s := &sim{rand: rand.New(rand.NewPCG(seed, 1)), leaders: map[uint64]ID{}, now: time.Hour}
+	for i := range n {
+		s.servers = append(s.servers, &server{id: ID{Name: fmt.Sprint("s", i)}})
+		s.renew(s.servers[i])
+	}
+	var members []Server
+	for _, v := range s.servers {
+		members = append(members, Server{ID: v.id, Voter: true})
+	}
+	if err := s.servers[0].node.Found(members); err != nil {
+		panic(err)
+	}
+	s.output(s.servers[0])
+	return s
+}
+
+// renew gives a server an empty disk.
+func (s *sim) renew(v *server) {
+	s.lives++
+	v.id.Incarnation = fmt.Sprint(s.lives)
+	v.disk = &disk{}
+	s.start(v)
+}
+
+func (s *sim) start(v *server) {
+	s.stop(v)
+	v.offset = time.Duration(s.rand.Int64N(int64(time.Hour))) // clocks of processes start anywhere
+	v.frozen, v.crash = false, noCrash
+	v.applied, v.value = v.disk.snapshot.Index, string(v.disk.snapshot.Data)
+	v.reads = map[uint64]uint64{}
+	v.node = New(Options{Self: v.id, State: v.disk.state, Snapshot: v.disk.snapshot,
+		Entries: slices.Clone(v.disk.entries), Random: s.rand.Int64N}, s.clock(v))
+}
+
+func (s *sim) stop(v *server) { v.node, v.reads = nil, nil }
+
+func (s *sim) clock(v *server) time.Duration { return s.now - v.offset }
+
+func (s *sim) fail(format string, args ...any) {
+	if s.problem == "" {
+		s.problem = fmt.Sprintf(format, args...)
+	}
+}
+
+// output handles a node's output as the runner does.
+func (s *sim) output(v *server) {
+	if v.node == nil {
+		return
+	}
+	o := v.node.Ready()
+	s.checkLeader(v)
+	if o.Empty() {
+		return
+	}
+	point := v.crash
+	v.crash = noCrash
+	if point == beforeSave {
+		s.stop(v)
+		return
+	}
+	v.disk.save(&o)
+	if point == beforeSend {
+		s.stop(v)
+		return
+	}
+	if !v.isolated {
+		s.queue = append(s.queue, o.Messages...)
+	}
+	if point == beforeApply {
+		s.stop(v)
+		return
+	}
+	s.apply(v, &o)
+}
+
+func (s *sim) apply(v *server, o *Output) {
+	if o.Install != nil {
+		v.applied, v.value = o.Install.Index, string(o.Install.Data)
+		if want := s.valueAt(v.applied); v.value != want {
+			s.fail("%s installed %q at %d instead of %q", v.id, v.value, v.applied, want)
+		}
+	}
+	for _, e := range o.Committed {
+		s.commit(v, e)
+	}
+	for _, r := range o.Reads {
+		if r.Err == nil && r.Index < v.reads[r.ID] {
+			s.fail("%s read at %d, but %d entries were committed before", v.id, r.Index, v.reads[r.ID])
+		}
+	}
+}
+
+func (s *sim) commit(v *server, e Entry) {
+	if e.Index != v.applied+1 {
+		s.fail("%s applied %d after %d", v.id, e.Index, v.applied)
+		return
+	}
+	v.applied = e.Index
+	if e.Index > uint64(len(s.committed)) {
+		s.committed, s.terms = append(s.committed, e), append(s.terms, v.node.state.Term)
+	} else if old := s.committed[e.Index-1]; old.Term != e.Term || string(old.Command) != string(e.Command) {
+		s.fail("%s committed another entry %d of term %d than term %d", v.id, e.Index, e.Term, old.Term)
+	}
+	if e.Kind == EntryCommand {
+		v.value = string(e.Command)
+	}
+}
+
+func (s *sim) valueAt(index uint64) string {
+	for i := int(index) - 1; i >= 0; i-- {
+		if s.committed[i].Kind == EntryCommand {
+			return string(s.committed[i].Command)
+		}
+	}
+	return ""
+}
+
+// checkLeader guards I1, I2 and the lease.
+func (s *sim) checkLeader(v *server) {
+	status := v.node.Status()
+	if status.Role != Leader {
+		return
+	}
+	if known, ok := s.leaders[status.Term]; ok {
+		if known != v.id {
+			s.fail("%s and %s lead term %d", known, v.id, status.Term)
+		}
+		return
+	}
+	s.leaders[status.Term] = v.id
+	for i, e := range s.committed {
+		if s.terms[i] >= status.Term {
+			continue // a leader of an earlier term that was elected late
+		}
+		if term, ok := v.node.log.term(e.Index); e.Index > v.node.log.base && (!ok || term != e.Term) {
+			s.fail("leader %s of term %d lacks committed entry %d", v.id, status.Term, e.Index)
+		}
+	}
+	for _, other := range s.servers {
+		if other == v || other.node == nil {
+			continue
+		}
+		o := other.node.Status()
+		if o.Role == Leader && o.Term < status.Term && s.clock(other) < o.QuorumUntil {
+			s.fail("%s was elected during the lease of %s", v.id, other.id)
+		}
+	}
+}
+
+// deliver hands one message over, or not.
+func (s *sim) deliver(m Message) {
+	fate := s.rand.Float64()
+	switch {
+	case fate < s.loss:
+		return
+	case fate < 2*s.loss:
+		s.queue = append(s.queue, m, m)
+		return
+	}
+	i := slices.IndexFunc(s.servers, func(v *server) bool { return v.id.Name == m.To.Name })
+	v := s.servers[i]
+	if v.frozen { // its socket keeps the message
+		s.queue = append(s.queue, m)
+		return
+	}
+	if v.node == nil || v.isolated {
+		return
+	}
+	if err := v.node.Step(s.clock(v), m); err != nil {
+		s.fail("%s: %v", v.id, err)
+	}
+	s.output(v)
+}
+
+// run lets time pass in steps of 20 ms and delivers messages in any order.
+func (s *sim) run(steps int) {
+	for range steps {
+		s.now += 20 * time.Millisecond
+		for _, v := range s.servers {
+			if v.node != nil && !v.frozen {
+				v.node.Tick(s.clock(v))
+				s.output(v)
+				s.join(v)
+			}
+		}
+		queue := s.queue
+		s.queue = nil
+		s.rand.Shuffle(len(queue), func(i, j int) { queue[i], queue[j] = queue[j], queue[i] })
+		for _, m := range queue {
+			if s.rand.Float64() < s.late {
+				s.queue = append(s.queue, m)
+				continue
+			}
+			s.deliver(m)
+		}
+	}
+}
+
+// join asks for admission as the runner does.
+func (s *sim) join(v *server) {
+	if v.node == nil || v.isolated || v.node.Status().Admitted || s.rand.IntN(10) > 0 {
+		return
+	}
+	for _, other := range s.servers {
+		if other != v {
+			s.queue = append(s.queue, Message{Kind: MsgJoin, From: v.id, To: ID{Name: other.id.Name}})
+		}
+	}
+}
+
+func (s *sim) propose(v *server) {
+	s.values++
+	_, _, _ = v.node.Propose(s.clock(v), []byte(fmt.Sprint(s.values)))
+	s.output(v)
+}
+
+func (s *sim) read(v *server) {
+	s.readID++
+	v.reads[s.readID] = uint64(len(s.committed))
+	_ = v.node.Read(s.clock(v), s.readID)
+	s.output(v)
+}
+
+// compact lets a server snapshot what it has applied.
+func (s *sim) compact(v *server) {
+	snapshot, ok := v.node.SnapshotAt(v.applied, []byte(v.value))
+	if !ok {
+		return
+	}
+	state, entries := v.node.After(snapshot)
+	v.disk = &disk{state: state, snapshot: snapshot, entries: slices.Clone(entries)}
+	v.node.Compact(snapshot)
+	v.node.log.compact(snapshot.Index) // no trailing entries, so that others need the snapshot
+}
+
+// voters returns the voters of the newest committed membership.
+func (s *sim) voters() Membership {
+	var h history
+	h.note(s.committed)
+	return h.current()
+}
+
+// unrepaired counts hosts whose present incarnation is not a committed voter
+// everywhere that a leader may come from.
+func (s *sim) unrepaired() int {
+	voters, n := s.voters(), 0
+	for _, v := range s.servers {
+		if !voters.IsVoter(v.id) {
+			n++
+		}
+	}
+	return n
+}
+
+// heal ends all faults.
+func (s *sim) heal() {
+	s.loss, s.late = 0, 0
+	for _, v := range s.servers {
+		v.isolated, v.frozen, v.crash = false, false, noCrash
+		if v.node == nil {
+			s.start(v)
+		}
+	}
+}
--- a/pkg/agree/status.go
+++ b/pkg/agree/status.go
@@ -4,13 +4,17 @@
 
 // Status describes a node for operators and for the owner of the lease.
 type Status struct {
-	Self        ID
-	Role        Role
-	Leader      ID // zero if unknown
-	Term        uint64
-	Commit      uint64
-	Last        uint64
-	Members     Membership
+	Self    ID
+	Role    Role
+	Leader  ID // zero if unknown
+	Term    uint64
+	Commit  uint64
+	Last    uint64
+	Members Membership
+	// Admitted is false until a committed membership is known to hold this
+	// server; it then asks for admission. An uncommitted one may be replaced
+	// by another leader that never heard of this server.
+	Admitted    bool
 	LeaderSince time.Duration // for the leader: when it was elected
 	// QuorumUntil is the time until which no other server can be elected,
 	// since a majority refuses votes. Zero unless leader.
@@ -23,6 +27,7 @@
 		Self: n.self, Role: n.role, Leader: n.leader, Term: n.state.Term,
 		Commit: n.commit, Last: n.log.last(), Members: n.members.current(),
 	}
+	s.Admitted = s.Members.Has(n.self) && s.Members.Index <= n.commit
 	if n.role == Leader {
 		s.LeaderSince = n.leadership.since
 		s.QuorumUntil = n.lease()
