Test early responses, trailers, HEAD and reuse of connections

Cause: the resend test has no value if its connections are not reused. Change: it counts POSTs on reused connections; tests of a response before the end of an upload and of framing.

--- a/internal/entry/caller_test.go
+++ b/internal/entry/caller_test.go
@@ -276,3 +276,36 @@
 		So(err, ShouldNotBeNil)
 	})
 }
+
+// A target may answer before it has read the upload; the rest must not reach it or break the host.
+func TestEarlyResponse(t *testing.T) {
+	Convey("the caller gets the response, and its connection is closed", t, func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		defer l.Close()
+		go func() {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			_, _ = http.ReadRequest(bufio.NewReader(conn))
+			_, _ = io.WriteString(conn, "HTTP/1.1 413 Too Large\r\nContent-Length: 3\r\n\r\nbig")
+			_, _ = io.Copy(io.Discard, conn)
+		}()
+		h := startHost(t, []string{l.Addr().String()})
+		conn, err := net.Dial("tcp", h.address)
+		So(err, ShouldBeNil)
+		defer conn.Close()
+		_, err = fmt.Fprintf(conn, "POST /s/bookings/rooms HTTP/1.1\r\nHost: x\r\nContent-Length: 1000000\r\n\r\nbegin")
+		So(err, ShouldBeNil)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		So(err, ShouldBeNil)
+		body, err := io.ReadAll(resp.Body)
+		So(err, ShouldBeNil)
+		So(string(body), ShouldEqual, "big")
+		So(resp.StatusCode, ShouldEqual, 413)
+		So(resp.Close, ShouldBeTrue)
+		So(h.freed(1), ShouldResemble, []slots.Outcome{slots.OutcomeDone})
+	})
+}
--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"encoding/json"
+	"io"
+	"net"
+	"net/http"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -51,4 +54,27 @@
 			So(target.Stats().Runs[key], ShouldEqual, 1)
 		})
 	})
+	Convey("framing, trailers and a missing content type pass through", t, func() {
+		address := rawTarget(t, func(_ int, conn net.Conn, r *http.Request) bool {
+			answer := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-Sum\r\nKeep-Alive: 5\r\n\r\n4\r\n<ht>\r\n0\r\nX-Sum: 9\r\n\r\n"
+			if r.Method == "HEAD" {
+				answer = "HTTP/1.1 200 OK\r\nContent-Length: 77\r\n\r\n"
+			}
+			_, err := io.WriteString(conn, answer)
+			return err == nil
+		})
+		h := startHost(t, []string{address})
+		resp, err := h.client.Get(h.url + "/s/bookings/x")
+		So(err, ShouldBeNil)
+		body, err := io.ReadAll(resp.Body)
+		So(err, ShouldBeNil)
+		resp.Body.Close()
+		So(string(body), ShouldEqual, "<ht>")
+		So(resp.Trailer.Get("X-Sum"), ShouldEqual, "9")
+		So(resp.Header["Content-Type"], ShouldBeNil)
+		So(resp.Header["Keep-Alive"], ShouldBeNil)
+		head := h.do("HEAD", "/s/bookings/x", "", "")
+		So(head.header.Get("Content-Length"), ShouldEqual, "77")
+		So(len(head.body), ShouldEqual, 0)
+	})
 }
--- a/internal/entry/transport_test.go
+++ b/internal/entry/transport_test.go
@@ -20,24 +20,25 @@
 )
 
 // closingTarget answers GET requests and closes the connection after it has read a POST request.
-func closingTarget(t *testing.T) (string, *atomic.Int64) {
-	var posts atomic.Int64
-	address := rawTarget(t, func(_ int, conn net.Conn, r *http.Request) bool {
+func closingTarget(t *testing.T) (address string, posts, reused *atomic.Int64) {
+	posts, reused = new(atomic.Int64), new(atomic.Int64)
+	address = rawTarget(t, func(n int, conn net.Conn, r *http.Request) bool {
 		if r.Method == "POST" {
 			posts.Add(1)
+			reused.Add(int64(min(n, 1)))
 			return false
 		}
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 		return true
 	})
-	return address, &posts
+	return address, posts, reused
 }
 
 // A transport that sends a request again by itself runs a booking twice.
 func TestNoResend(t *testing.T) {
 	const requests = 100
 	Convey("100 bodyless keyed POSTs over reused connections are received 100 times", t, func() {
-		address, posts := closingTarget(t)
+		address, posts, reused := closingTarget(t)
 		h := startHost(t, []string{address})
 		for range requests {
 			So(h.do("GET", "/s/bookings/x", "", "").status, ShouldEqual, 200)
@@ -46,9 +47,10 @@
 			So(got.outcome, ShouldEqual, OutcomeUnknown)
 		}
 		So(posts.Load(), ShouldEqual, requests)
+		So(reused.Load(), ShouldEqual, requests)
 	})
 	Convey("the same requests without the body reader are sent again by net/http", t, func() {
-		address, posts := closingTarget(t)
+		address, posts, _ := closingTarget(t)
 		transport := newUpstream(nil).transportFor(bundle.Service{Connections: 10}, 1, "", traffic.Short)
 		client := &http.Client{Transport: transport}
 		for range requests {
