Send bodyless GET, HEAD, DELETE and OPTIONS without probing the body

Cause: net/http starts a goroutine and a timer for each request whose method usually lacks a body, to find out whether the body reader has a byte. Ruled out: http.NoBody, which lets net/http send the request again by itself.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -101,6 +101,11 @@
 		Body:          a.upload,
 		ContentLength: in.ContentLength,
 	}
+	if a.x.body == nil && usuallyLacksBody(in.Method) {
+		// Without it, net/http starts a goroutine and a timer to find out
+		// whether the body reader has a byte.
+		out.TransferEncoding = []string{"identity"}
+	}
 	delete(out.Header, "Expect") // the caller was told to continue when its body was first read
 	if _, ok := out.Header["User-Agent"]; !ok {
 		out.Header["User-Agent"] = nil // net/http would add its own
@@ -111,6 +116,15 @@
 	return out.WithContext(httptrace.WithClientTrace(a.ctx, a.trace())), nil
 }
 
+// usuallyLacksBody lists methods whose requests need no framing of an empty body.
+func usuallyLacksBody(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodDelete, http.MethodOptions:
+		return true
+	}
+	return false
+}
+
 func (a *attempt) trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -78,3 +79,24 @@
 		So(len(head.body), ShouldEqual, 0)
 	})
 }
+
+// Strict targets refuse a GET with a chunked body or a POST without any framing.
+func TestBodyFraming(t *testing.T) {
+	for _, c := range []struct {
+		method, body, framing string
+	}{
+		{"GET", "", "0 []"}, {"HEAD", "", "0 []"}, {"DELETE", "", "0 []"}, {"POST", "", "-1 [chunked]"},
+		{"PUT", "room 4", "6 []"}, {"DELETE", "room 4", "6 []"},
+	} {
+		Convey(c.method+" "+c.body, t, func() {
+			seen := make(chan string, 1)
+			address := rawTarget(t, func(n int, conn net.Conn, r *http.Request) bool {
+				seen <- fmt.Sprint(r.ContentLength, r.TransferEncoding)
+				return rawOK(n, conn, r)
+			})
+			h := startHost(t, []string{address})
+			So(h.do(c.method, "/s/bookings/x", "", c.body).status, ShouldEqual, 200)
+			So(<-seen, ShouldEqual, c.framing)
+		})
+	}
+}
