--- a/internal/zone/cluster_test.go
+++ b/internal/zone/cluster_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/hornbeamstack/hornbeamstack/internal/peer"
 	"github.com/hornbeamstack/hornbeamstack/pkg/bundle"
+	"github.com/hornbeamstack/hornbeamstack/pkg/slots"
 )
 
 // testHost is one entry host on loopback.
@@ -32,6 +34,7 @@
 	t     *testing.T
 	hosts map[string]*testHost
 	next  int
+	mu    sync.Mutex // guards the runtimes of hosts against restarts during announcements
 }
 
 var zonesOfTest = []bundle.AvailabilityZone{
@@ -84,15 +87,17 @@
 	c.next++
 	server := peer.NewServer(h.name)
 	h.client = peer.NewClient(h.name)
-	h.Zone = New(Config{
+	z := New(Config{
 		Host: h.name, Incarnation: fmt.Sprintf("i%d", c.next), AvailabilityZone: h.az,
 		Bundle: h.bundle.Load, Server: server, Client: h.client, Log: log.New(io.Discard),
 	})
+	c.mu.Lock()
+	h.Zone = z
+	c.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stop, h.closed = cancel, make(chan struct{})
 	served := make(chan struct{})
 	go func() { defer close(served); _ = server.Serve(ctx, h.listener) }()
-	z := h.Zone
 	go func() {
 		defer close(h.closed)
 		_ = z.Run(ctx)
@@ -157,7 +162,7 @@
 }
 
 // announce keeps a target announced by a host of its zone until the test ends.
-func (c *cluster) announce(h *testHost, address string, slots int) {
+func (c *cluster) announce(h *testHost, address string, slotCount int) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	first := make(chan struct{})
@@ -165,8 +170,11 @@
 		defer close(done)
 		accepted := false
 		for sequence := uint64(1); ctx.Err() == nil; sequence++ {
-			err := h.Announce(ctx, Announcement{
-				Service: "limits", Address: address, AvailabilityZone: h.az, Incarnation: 1, Sequence: sequence, Slots: slots,
+			c.mu.Lock()
+			z := h.Zone
+			c.mu.Unlock()
+			err := z.Announce(ctx, Announcement{
+				Service: "limits", Address: address, AvailabilityZone: h.az, Incarnation: 1, Sequence: sequence, Slots: slotCount,
 			})
 			if err == nil && !accepted {
 				accepted = true
@@ -191,3 +199,24 @@
 	defer c.mu.Unlock()
 	return c.pool.Recovering()
 }
+
+// restart starts a killed host again at its address, as a new process.
+func (c *cluster) restart(h *testHost) {
+	l, err := net.Listen("tcp", h.addr)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	h.listener = l
+	c.start(h)
+}
+
+// figures returns what a coordinator counts for the service.
+func (c *cluster) figures(h *testHost) slots.Stats {
+	own, _ := h.lease()
+	if own == nil {
+		return slots.Stats{}
+	}
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	return own.pool.Stats(time.Now())["limits"]
+}
--- /dev/null
+++ b/internal/zone/holder_test.go
@@ -0,0 +1,183 @@
+package zone
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/hornbeamstack/hornbeamstack/internal/peer"
+	"github.com/hornbeamstack/hornbeamstack/pkg/bundle"
+	"github.com/hornbeamstack/hornbeamstack/pkg/slots"
+)
+
+// still is a runtime of host a0 that does not run, with a clock of its own.
+type still struct {
+	*Zone
+	passed atomic.Int64 // nanoseconds
+}
+
+func (s *still) now() time.Time { return time.Unix(1000, s.passed.Load()) }
+
+func (s *still) pass(d time.Duration) { s.passed.Add(int64(d)) }
+
+func newStill(hosts int) *still {
+	s := &still{}
+	b := &bundle.Bundle{Zones: zonesOfTest, Services: []bundle.Service{{Name: "limits", Slots: 3}}}
+	for i := range hosts {
+		b.Hosts = append(b.Hosts, bundle.Host{Name: "a" + string(rune('0'+i)), AvailabilityZone: "a", Role: bundle.RoleEntry, Peer: "127.0.0.1:1"})
+	}
+	s.Zone = New(Config{
+		Host: "a0", Incarnation: "i1", AvailabilityZone: "a", Bundle: func() *bundle.Bundle { return b },
+		Server: peer.NewServer("a0"), Client: peer.NewClient("a0"), Log: log.New(io.Discard), Now: s.now,
+	})
+	return s
+}
+
+func (s *still) grant(number, term uint64, valid time.Duration) *Permit {
+	sent := s.now()
+	reply := acquireReply{Status: statusGranted, Target: "10.1.0.1:80", Term: term, ValidMs: valid.Milliseconds()}
+	return s.take("a", number, sent, Request{Service: "limits", Deadline: s.now().Add(time.Minute)}, reply).permit
+}
+
+// Guards against the use of grants that a freeze or a failover has voided.
+func TestVoidGrants(t *testing.T) {
+	cases := []struct {
+		name   string
+		then   func(s *still, p *Permit)
+		usable bool
+	}{
+		{"used at once", func(*still, *Permit) {}, true},
+		{"used after the coordinator's lease", func(s *still, _ *Permit) { s.pass(time.Second) }, false},
+		{"used after the deadline", func(s *still, p *Permit) { p.validUntil = s.now().Add(time.Hour); s.pass(time.Minute) }, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newStill(1)
+			p := s.grant(1, 5, time.Second)
+			c.then(s, p)
+			if p.Usable(s.now()) != c.usable {
+				t.Fatalf("usable is %v, want %v", !c.usable, c.usable)
+			}
+		})
+	}
+	s := newStill(1)
+	if s.grant(1, 5, 0) != nil {
+		t.Fatal("a grant that arrived after its validity was accepted")
+	}
+	if _, err := s.handleHeld(context.Background(), "a1", heldRequest{Zone: "a", Term: 6}); err != nil {
+		t.Fatal(err)
+	}
+	if s.grant(2, 5, time.Hour) != nil {
+		t.Fatal("a grant of term 5 was accepted after term 6 was answered")
+	}
+	if r, _ := s.handleHeld(context.Background(), "a1", heldRequest{Zone: "a", Term: 5}); r.Newer != 6 {
+		t.Fatal("a coordinator of an older term was not told")
+	}
+}
+
+// Guards against permits left out of the answer to a new coordinator while the
+// target may still work, and reported after it has ended.
+func TestHeldAnswer(t *testing.T) {
+	cases := []struct {
+		name  string
+		then  func(s *still, p *Permit)
+		until time.Duration // negative: not reported
+	}{
+		{"unused", func(*still, *Permit) {}, time.Minute + slots.StreamSilence},
+		{"streaming after the deadline", func(s *still, p *Permit) { p.streaming = true; s.pass(time.Hour) }, slots.StreamSilence},
+		{"done", func(_ *still, p *Permit) { p.Release(slots.OutcomeDone) }, -1},
+		{"abandoned", func(_ *still, p *Permit) { p.Release(slots.OutcomeAbandoned) }, slots.AbandonGrace},
+		{"close not confirmed", func(_ *still, p *Permit) { p.Release(slots.OutcomeUnconfirmed) }, time.Minute + slots.StreamSilence},
+		{"abandoned, grace over", func(s *still, p *Permit) {
+			p.Release(slots.OutcomeAbandoned)
+			s.pass(slots.AbandonGrace)
+			s.permitStep(context.Background())
+		}, -1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newStill(1)
+			c.then(s, s.grant(1, 5, time.Hour))
+			r, _ := s.handleHeld(context.Background(), "a1", heldRequest{Zone: "a", Term: 6})
+			switch {
+			case c.until < 0 && len(r.Permits) > 0:
+				t.Fatalf("reported %+v", r.Permits)
+			case c.until >= 0 && (len(r.Permits) != 1 || milliseconds(r.Permits[0].UntilMs) != c.until):
+				t.Fatalf("reported %+v, want one until %v", r.Permits, c.until)
+			}
+		})
+	}
+}
+
+// Guards against streams that go on after their slot may be given away, and
+// against streams cut although their renewals are answered.
+func TestLostStreams(t *testing.T) {
+	lost := func(p *Permit) bool {
+		select {
+		case <-p.Lost():
+			return true
+		default:
+			return false
+		}
+	}
+	s := newStill(1)
+	p := s.grant(1, 5, time.Hour)
+	p.streaming = true
+	step := func(d time.Duration, r renewReply) {
+		s.pass(d)
+		s.confirm(s.now(), []uint64{1}, r)
+		s.permitStep(context.Background())
+	}
+	step(time.Minute+slots.LostAfter-1, renewReply{})
+	step(slots.LostAfter-1, renewReply{})
+	step(slots.LostAfter-1, renewReply{Deferred: true})
+	if lost(p) {
+		t.Fatal("a renewed stream was cut")
+	}
+	step(1, renewReply{Deferred: true}) // an answer that counts nothing
+	if !lost(p) {
+		t.Fatal("a stream without counted renewals goes on")
+	}
+	p = s.grant(2, 5, time.Hour)
+	p.streaming = true
+	s.confirm(s.now(), []uint64{2}, renewReply{Unknown: []uint64{2}})
+	if !lost(p) {
+		t.Fatal("a stream whose slot was given away goes on")
+	}
+}
+
+// Guards against targets taken into a zone that is not theirs.
+func TestAnnounceChecks(t *testing.T) {
+	for name, c := range map[string]struct{ zone, address, code string }{
+		"other zone":              {"b", "10.1.0.1:80", CodeWrongZone},
+		"address of another zone": {"a", "10.2.0.1:80", CodeAddress},
+		"no address":              {"a", "target-1:80", CodeAddress},
+		"no coordinator":          {"a", "10.1.0.1:80", CodeUnavailable},
+	} {
+		err := newStill(1).Announce(context.Background(), Announcement{Service: "limits", AvailabilityZone: c.zone, Address: c.address})
+		var refused *AnnounceError
+		if !errors.As(err, &refused) || refused.Code != c.code {
+			t.Errorf("%s: got %v, want %s", name, err, c.code)
+		}
+	}
+}
+
+// Guards against heartbeats that grow with the hosts of other zones.
+func TestSummaryDoesNotGrowWithHosts(t *testing.T) {
+	size := func(hosts int) int {
+		s := newStill(hosts)
+		b, err := cbor.Marshal(s.summarize(newCoordinator(s.now(), 1, s.layout().policy("a"), nil), s.now()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return len(b)
+	}
+	if few, many := size(2), size(60); few != many {
+		t.Fatalf("summary takes %d bytes for 2 hosts and %d for 60", few, many)
+	}
+}
