--- a/internal/claims/client.go
+++ b/internal/claims/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -116,62 +115,6 @@
 	}
 }
 
-// collect asks all stores for their votes until the proposer decides.
-func (c *Client) collect(ctx context.Context, p *claim.Proposer, k claim.Key, a claim.Attempt, stores []Store) {
-	type result struct {
-		store string
-		reply claim.VoteReply
-		err   error
-	}
-	// Votes go on after the decision, so that as many stores as possible know the owner.
-	voteCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), voteTimeout)
-	results := make(chan result, len(stores))
-	var wg sync.WaitGroup
-	for _, s := range stores {
-		wg.Go(func() {
-			reply, err := c.transport.vote(voteCtx, s, claim.VoteRequest{Key: k, Attempt: a})
-			results <- result{store: s.Name, reply: reply, err: err}
-		})
-	}
-	go func() { wg.Wait(); cancel() }()
-	for range stores {
-		select {
-		case r := <-results:
-			if r.err != nil || r.reply.Store != r.store {
-				p.Fail(r.store)
-			} else {
-				p.Reply(r.reply)
-			}
-		case <-ctx.Done():
-			p.GiveUp()
-		}
-		if p.Decision() != claim.Waiting {
-			return
-		}
-	}
-	p.GiveUp()
-}
-
-// withdraw releases an attempt that will never send. The channel closes when
-// every store has answered once.
-func (c *Client) withdraw(p *claim.Proposer, k claim.Key, a claim.Attempt, stores []Store) <-chan struct{} {
-	var to []Store
-	for _, name := range p.Release() {
-		for _, s := range stores {
-			if s.Name == name {
-				to = append(to, s)
-			}
-		}
-	}
-	return c.release(k, a, to)
-}
-
-func (c *Client) release(k claim.Key, a claim.Attempt, to []Store) <-chan struct{} {
-	return c.reports.send(to, reportBytes, func(ctx context.Context, s Store) error {
-		return c.transport.release(ctx, s, claim.ReleaseRequest{Key: k, Attempt: a})
-	})
-}
-
 func (c *Client) reserve(k claim.Key) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -187,26 +130,3 @@
 	defer c.mu.Unlock()
 	delete(c.active, k)
 }
-
-// wait returns false if ctx ends before the withdrawal and a random pause.
-func wait(ctx context.Context, withdrawn <-chan struct{}, pause time.Duration) bool {
-	select {
-	case <-withdrawn:
-	case <-ctx.Done():
-		return false
-	}
-	select {
-	case <-time.After(rand.N(pause)):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
-func names(stores []Store) []string {
-	out := make([]string, len(stores))
-	for i, s := range stores {
-		out[i] = s.Name
-	}
-	return out
-}
