Keep recorded answers encoded

A store held decoded answers that it never reads; with three header fields a record took 735 B of memory. Stores now keep the encoded answer and entry hosts decode it on replay; an answer that cannot be decoded is reported as unknown.

--- a/internal/claims/begin_test.go
+++ b/internal/claims/begin_test.go
@@ -46,6 +46,15 @@
 			So(err, ShouldBeNil)
 			So(string(got.Body), ShouldEqual, "booked")
 		})
+		Convey("an answer keeps its header, and a body above the limit is left out", func() {
+			h, _, err := a.Begin(ctx, "bookings", key)
+			So(err, ShouldBeNil)
+			h.Finish(claim.Answer{Status: 200, Header: map[string][]string{"Etag": {"1"}}, Body: make([]byte, claim.MaxBody+1)})
+			So(a.Drain(ctx), ShouldBeNil)
+			_, got, err := b.Begin(ctx, "bookings", key)
+			So(err, ShouldBeNil)
+			So(got, ShouldResemble, &claim.Answer{Status: 200, Header: map[string][]string{"Etag": {"1"}}, BodyDropped: true})
+		})
 		Convey("a released key may be used again", func() {
 			h, _, err := a.Begin(ctx, "bookings", key)
 			So(err, ShouldBeNil)
--- a/internal/claims/bench_test.go
+++ b/internal/claims/bench_test.go
@@ -55,7 +55,7 @@
 	}
 }
 
-// BenchmarkRecordMemory measures the memory of a record with a small answer.
+// BenchmarkRecordMemory measures the memory of a record with a small answer and three header fields.
 func BenchmarkRecordMemory(b *testing.B) {
 	const records = 100_000
 	for b.Loop() {
@@ -69,7 +69,9 @@
 			a := claim.Attempt{Host: "lk-west-a-1", Incarnation: "0190163d-8694-739b-aea5-966c26f8ad91", Counter: uint64(i)}
 			r.Vote(now, k, a)
 			answer := answer("0123456789abcdef0123456789abcdef")
-			r.Finish(now, k, a, &answer)
+			answer.Header = map[string][]string{"Content-Type": {"application/json"}, "Date": {"Fri, 04 Dec 2026 07:00:00 GMT"}, "Etag": {"\"1\""}}
+			encoded, _ := answer.Encode()
+			r.Finish(now, k, a, encoded)
 		}
 		runtime.GC()
 		runtime.ReadMemStats(&after)
--- a/internal/claims/client.go
+++ b/internal/claims/client.go
@@ -109,12 +109,25 @@
 		}
 		withdrawn := c.withdraw(p, k, a, stores)
 		if decision != claim.Split || round == splitRounds || !wait(ctx, withdrawn, pause) {
-			return nil, p.Answer(), decision
+			if decision == claim.Replay {
+				return replay(p)
+			}
+			return nil, nil, decision
 		}
 		pause *= 2
 	}
 }
 
+// replay returns the recorded answer. The request has run, so an answer that
+// cannot be read is reported as not known.
+func replay(p *claim.Proposer) (*Held, *claim.Answer, claim.Decision) {
+	answer, err := p.Answer().Decode()
+	if err != nil {
+		return nil, nil, claim.NotKnown
+	}
+	return nil, answer, claim.Replay
+}
+
 func (c *Client) reserve(k claim.Key) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/claims/held.go
+++ b/internal/claims/held.go
@@ -34,7 +34,11 @@
 	if len(a.Body) > claim.MaxBody {
 		a.Body, a.BodyDropped = nil, true
 	}
-	h.report(&a)
+	answer, err := a.Encode()
+	if err != nil {
+		answer = nil // recorded as not known rather than not at all
+	}
+	h.report(answer)
 }
 
 // Unknown says that the request was sent and its result is not known.
@@ -49,16 +53,12 @@
 	}
 }
 
-func (h *Held) report(answer *claim.Answer) {
+func (h *Held) report(answer claim.Encoded) {
 	if !h.end() {
 		return
 	}
-	size := reportBytes
-	if answer != nil {
-		size += len(answer.Body)
-	}
 	req := claim.FinishRequest{Key: h.key, Attempt: h.attempt, Answer: answer}
-	h.client.reports.send(h.stores, size, func(ctx context.Context, s Store) error {
+	h.client.reports.send(h.stores, reportBytes+len(answer), func(ctx context.Context, s Store) error {
 		return h.client.transport.finish(ctx, s, req)
 	})
 	h.client.free(h.key)
--- a/internal/claims/reports.go
+++ b/internal/claims/reports.go
@@ -9,7 +9,7 @@
 const (
 	// reportTimeout bounds one try to report to a store.
 	reportTimeout = time.Second
-	// reportBytes is the memory of a report without its body.
+	// reportBytes is the memory of a report without its answer.
 	reportBytes = 512
 	// backlogBytes bounds the reports that wait for one unreachable store. The
 	// oldest are dropped beyond it; the other stores have them.
--- a/pkg/claim/message.go
+++ b/pkg/claim/message.go
@@ -29,7 +29,7 @@
 	// Recent is set if an owner has voted or renewed within RecentLimit.
 	Recent bool             `cbor:"5,keyasint,omitempty"`
 	Result Result           `cbor:"6,keyasint,omitempty"`
-	Answer *Answer          `cbor:"7,keyasint,omitempty"`
+	Answer Encoded          `cbor:"7,keyasint,omitempty"`
 	Known  map[string]Fence `cbor:"8,keyasint,omitempty"` // the fences of stores that replaced a lost disk
 }
 
@@ -37,7 +37,7 @@
 type FinishRequest struct {
 	Key     Key     `cbor:"1,keyasint"`
 	Attempt Attempt `cbor:"2,keyasint"`
-	Answer  *Answer `cbor:"3,keyasint,omitempty"` // nil: the result is not known
+	Answer  Encoded `cbor:"3,keyasint,omitempty"` // empty: the result is not known
 }
 
 // ReleaseRequest gives up an attempt for good.
--- a/pkg/claim/proposer.go
+++ b/pkg/claim/proposer.go
@@ -27,7 +27,7 @@
 	failed   map[string]bool
 	fences   map[string]Fence
 	decision Decision
-	answer   *Answer
+	answer   Encoded
 }
 
 // NewProposer returns the state of an attempt that has asked all stores.
@@ -45,7 +45,7 @@
 func (p *Proposer) Decision() Decision { return p.decision }
 
 // Answer returns the recorded answer of an earlier attempt after Replay.
-func (p *Proposer) Answer() *Answer { return p.answer }
+func (p *Proposer) Answer() Encoded { return p.answer }
 
 // Reply takes a store's reply; a repeated one changes nothing.
 func (p *Proposer) Reply(r VoteReply) Decision {
--- a/pkg/claim/record.go
+++ b/pkg/claim/record.go
@@ -21,7 +21,7 @@
 	// at a key by one process follow one another, so lower ones have ended too.
 	Released []Attempt `cbor:"2,keyasint,omitempty"`
 	Result   Result    `cbor:"3,keyasint,omitempty"`
-	Answer   *Answer   `cbor:"4,keyasint,omitempty"`
+	Answer   Encoded   `cbor:"4,keyasint,omitempty"`
 }
 
 // released reports whether the attempt has been given up.
@@ -54,7 +54,7 @@
 }
 
 // withResult returns the record after the owner reported its result.
-func (r *Record) withResult(a Attempt, result Result, answer *Answer) *Record {
+func (r *Record) withResult(a Attempt, result Result, answer Encoded) *Record {
 	next := *r
 	next.Owners = []Attempt{a}
 	next.Result, next.Answer = result, answer
--- a/pkg/claim/register.go
+++ b/pkg/claim/register.go
@@ -53,12 +53,12 @@
 // Finish records the result of the owner; only an owner that had the right
 // to send reports one, so it stands whatever this store voted for. A known
 // answer replaces an uncertain result.
-func (r *Register) Finish(now time.Time, k Key, a Attempt, answer *Answer) *Mutation {
+func (r *Register) Finish(now time.Time, k Key, a Attempt, answer Encoded) *Mutation {
 	rec := r.get(k)
 	switch {
-	case rec.Result == Done, rec.Result == Uncertain && answer == nil:
+	case rec.Result == Done, rec.Result == Uncertain && len(answer) == 0:
 		return nil
-	case answer == nil:
+	case len(answer) == 0:
 		return r.put(now, k, rec.withResult(a.interned(), Uncertain, nil))
 	}
 	return r.put(now, k, rec.withResult(a.interned(), Done, answer))
--- a/pkg/claim/world_test.go
+++ b/pkg/claim/world_test.go
@@ -50,7 +50,7 @@
 	replies  []VoteReply
 	releases []int
 	finishes []int
-	answer   *Answer
+	answer   Encoded
 	sent     bool
 	ended    bool // released, or its result reported
 	released bool
@@ -234,7 +234,7 @@
 		w.send(a)
 	default:
 		a.refused = d
-		if d == Replay && (w.ran == nil || a.p.Answer() != w.ran.answer) {
+		if d == Replay && (w.ran == nil || string(a.p.Answer()) != string(w.ran.answer)) {
 			w.fail("attempt %v got an answer that is not the target's", a)
 		}
 		w.release(a)
@@ -257,7 +257,7 @@
 		w.fail("attempts %v and %v both ran", w.ran, a)
 	}
 	w.ran = a
-	a.answer = &Answer{Status: 200 + len(a.Host)}
+	a.answer = Encoded(a.String())
 }
 
 // release gives the attempt up and queues the withdrawals of its votes.
