Let a host accept peer messages on another address than the published one

Cause: a port forwarder before a host, and the failure tests' relays, need a listening address of their own; the settings refused it. Change: optional setting peer_listen. An entry host is ready only after it has asked its zone peers and control hosts (rollout.Puller.Started).

--- a/internal/node/base.go
+++ b/internal/node/base.go
@@ -38,7 +38,7 @@
 }
 
 // identity names a host and its addresses.
-type identity struct{ program, host, peer, http, level, traceFile string }
+type identity struct{ program, host, peer, peerListen, http, level, traceFile string }
 
 // newBase opens both ports, so that a taken port is reported before anything runs.
 func newBase(id identity) (*base, error) {
@@ -54,7 +54,10 @@
 	if b.tracing, err = telemetry.NewTracing(id.program, id.host, id.traceFile); err != nil {
 		return nil, err
 	}
-	if b.peers, err = net.Listen("tcp", id.peer); err != nil {
+	if id.peerListen == "" {
+		id.peerListen = id.peer
+	}
+	if b.peers, err = net.Listen("tcp", id.peerListen); err != nil {
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
 	if b.http, err = net.Listen("tcp", id.http); err != nil {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b, err := newBase(identity{"hornbeam-control", s.Host, s.Peer, s.HTTP, s.LogLevel, s.TraceFile})
+	b, err := newBase(identity{"hornbeam-control", s.Host, s.Peer, s.PeerListen, s.HTTP, s.LogLevel, s.TraceFile})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -39,6 +39,7 @@
 	directory *directory
 	surface   *entry.Surface
 	stopRuns  context.CancelFunc // ends all but the HTTP server and the zone
+	puller    *rollout.Puller
 	hasBundle atomic.Bool
 }
 
@@ -60,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b, err := newBase(identity{"hornbeam-entry", s.Host, s.Peer, s.HTTP, s.LogLevel, s.TraceFile})
+	b, err := newBase(identity{"hornbeam-entry", s.Host, s.Peer, s.PeerListen, s.HTTP, s.LogLevel, s.TraceFile})
 	if err != nil {
 		return nil, err
 	}
@@ -119,15 +120,15 @@
 	runs, stop := context.WithCancel(ctx)
 	e.stopRuns = stop
 	receiver := rollout.NewReceiver(runs, e.server, e.client, e.settings.Peer, e.holder, e.reporter, e.log)
-	puller := &rollout.Puller{
+	e.puller = &rollout.Puller{
 		Host: e.settings.Host, Zone: e.settings.AvailabilityZone, ControlHosts: e.settings.ControlHosts,
 		ZoneHosts: e.settings.ZoneHosts, Holder: e.holder, Client: e.client, Reporter: e.reporter, Log: e.log,
 	}
 	e.run("bundle pull", func() error {
-		for !puller.Start(runs) && runs.Err() == nil {
+		for !e.puller.Start(runs) && runs.Err() == nil {
 			e.log.Info("waiting for a bundle")
 		}
-		puller.Run(runs)
+		e.puller.Run(runs)
 		receiver.Wait()
 		return nil
 	})
@@ -165,8 +166,8 @@
 	return nil
 }
 
-// Ready reports whether the host has a bundle in force.
-func (e *Entry) Ready() bool { return e.hasBundle.Load() }
+// Ready reports whether the host has asked its peers and has a bundle in force.
+func (e *Entry) Ready() bool { return e.ready() == nil }
 
 // Version returns the bundle version in force, 0 if there is none.
 func (e *Entry) Version() uint64 {
@@ -192,7 +193,7 @@
 }
 
 func (e *Entry) ready() error {
-	if !e.hasBundle.Load() {
+	if !e.puller.Started() {
 		return errNoBundle
 	}
 	return nil
--- a/internal/settings/control.go
+++ b/internal/settings/control.go
@@ -5,6 +5,7 @@
 	Host             string            `toml:"host" help:"Name of this host, as in the bundle."`
 	AvailabilityZone string            `toml:"zone" help:"Availability zone of this host, as in the bundle."`
 	Peer             string            `toml:"peer" help:"IP:port for messages between the system's own processes."`
+	PeerListen       string            `toml:"peer_listen" optional:"yes" help:"IP:port to accept these messages on, if it differs from peer, as behind a port forwarder."`
 	HTTP             string            `toml:"http" help:"IP:port for operators."`
 	DataFolder       string            `toml:"data_folder" help:"Folder of the bundle log and the claim records."`
 	Members          []Member          `toml:"member" help:"All control hosts of the agreement group, this one included."`
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -7,6 +7,7 @@
 	Host             string            `toml:"host" help:"Name of this host, as in the bundle."`
 	AvailabilityZone string            `toml:"zone" help:"Availability zone of this host, as in the bundle."`
 	Peer             string            `toml:"peer" help:"IP:port for messages between the system's own processes."`
+	PeerListen       string            `toml:"peer_listen" optional:"yes" help:"IP:port to accept these messages on, if it differs from peer, as behind a port forwarder."`
 	HTTP             string            `toml:"http" help:"IP:port for callers and targets."`
 	ControlHosts     []Member          `toml:"control_host" help:"All control hosts; asked for the bundle in force."`
 	ZoneHosts        []Member          `toml:"zone_host" optional:"yes" help:"Other entry hosts of the zone; asked for the bundle in force when control is out of reach."`
--- a/test/faults/deployment_test.go
+++ b/test/faults/deployment_test.go
@@ -152,8 +152,7 @@
 		if err != nil {
 			d.t.Fatal(err)
 		}
-		// Only the host's own line changes; others keep the published address.
-		changed := strings.Replace(string(text), "peer = \""+h.Peer+"\"", "peer = \""+real+"\"", 1)
+		changed := strings.Replace(string(text), `peer_listen = ""`, fmt.Sprintf("peer_listen = %q", real), 1)
 		if err := os.WriteFile(d.files[h.Name], []byte(changed), 0o644); err != nil {
 			d.t.Fatal(err)
 		}
