--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -53,7 +53,7 @@
 	}
 	if !c.repeatable {
 		c.key, problem = parseKey(r.Header)
-		c.resend = r.Header.Get(HeaderResend) == "true"
+		c.resend = c.key != "" && r.Header.Get(HeaderResend) == "true"
 	}
 	return c, problem
 }
--- a/internal/entry/claiming.go
+++ b/internal/entry/claiming.go
@@ -31,12 +31,10 @@
 	var refused *ClaimRefusedError
 	switch {
 	case errors.As(err, &refused):
-		outcome := refused.Outcome
-		if x.call.resend && outcome == OutcomeNotRun {
-			outcome = OutcomeUnknown // this attempt did not run, but an earlier one may have
-		}
-		return &Problem{Status: claimStatus(outcome), Code: refused.Code, Outcome: outcome,
-			Message: refused.Message, RetryAfter: refused.RetryAfter}
+		p := x.truthful(&Problem{Code: refused.Code, Outcome: refused.Outcome,
+			Message: refused.Message, RetryAfter: refused.RetryAfter})
+		p.Status = claimStatus(p.Outcome)
+		return p
 	case x.ctx.Err() != nil:
 		return unknown(statusCallerGone, CodeCallerGone, "caller closed its connection")
 	case ctx.Err() != nil:
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -115,8 +115,10 @@
 const statusCallerGone = 499
 
 // truthful turns "not run" into "unknown" if an earlier attempt may have run.
+// An earlier send of a resent key may also still be on its way, and run after
+// this one has ended.
 func (x *exchange) truthful(p *Problem) *Problem {
-	if x.mayRun {
+	if p.Outcome == OutcomeNotRun && (x.mayRun || x.call.resend) {
 		p.Outcome = OutcomeUnknown
 	}
 	return p
--- a/internal/entry/routes_test.go
+++ b/internal/entry/routes_test.go
@@ -100,6 +100,11 @@
 		h.claims.err = &ClaimRefusedError{Outcome: OutcomeNotRun, Code: "claim-no-quorum"}
 		So(h.do("POST", "/s/bookings/rooms", newKey(), "").outcome, ShouldEqual, OutcomeNotRun)
 		So(h.do("POST", "/s/bookings/rooms", newKey(), "", HeaderResend, "true").outcome, ShouldEqual, OutcomeUnknown)
+		h.claims.err = nil // no target: the claim is given and released
+		key := newKey()
+		So(h.do("POST", "/s/bookings/rooms", key, "", HeaderResend, "true").outcome, ShouldEqual, OutcomeUnknown)
+		So(h.claims.of(key), ShouldEqual, "released")
+		So(h.do("POST", "/s/bookings/rooms", "", "", HeaderResend, "true").outcome, ShouldEqual, OutcomeNotRun)
 	})
 	Convey("an error of the claim itself leaves the outcome unknown, as an earlier send may have run", t, func() {
 		h := startHost(t, nil)
