Test dials that hang; send no claimed request whose caller has left

Cause: a claimed request goes on without its caller, but need not be begun. Change: the caller is checked between permit and send; a target whose queue of connections is full guards the dial time limit.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -10,6 +10,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/hornbeamstack/hornbeamstack/pkg/retry"
+	"github.com/hornbeamstack/hornbeamstack/pkg/slots"
 )
 
 // exchange is one request of a caller on its way to an answer.
@@ -45,6 +46,11 @@
 		if problem != nil {
 			return problem
 		}
+		if x.ctx.Err() != nil {
+			// A claimed request goes on without its caller only once it was sent.
+			permit.Release(slots.OutcomeUnsent)
+			return x.truthful(notRun(statusCallerGone, CodeCallerGone, "caller closed its connection"))
+		}
 		x.sending = true
 		a := newAttempt(x, permit)
 		response, failure := a.send()
--- a/internal/entry/transport_test.go
+++ b/internal/entry/transport_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -182,3 +184,42 @@
 	time.Sleep(20 * time.Millisecond)
 	return n
 }
+
+// fullTarget listens, but its queue of connections is full, so that dials hang.
+func fullTarget(t *testing.T) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { syscall.Close(fd) })
+	err = errors.Join(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), syscall.Listen(fd, 0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
+	for range 20 {
+		conn, err := net.DialTimeout("tcp", address, 200*time.Millisecond)
+		if err != nil {
+			return address
+		}
+		t.Cleanup(func() { conn.Close() })
+	}
+	t.Fatal("the queue of connections does not fill")
+	return ""
+}
+
+// Without a limit a dial that hangs takes the whole time of a request that another target could answer.
+func TestHangingDial(t *testing.T) {
+	Convey("a dial that hangs counts as nothing sent, and another target answers", t, func() {
+		spare := startTarget(t, standin.Config{})
+		h := startHost(t, []string{fullTarget(t), spare.Address()})
+		got := h.do("POST", "/s/bookings/rooms", newKey(), "room 4")
+		So(got.status, ShouldEqual, 200)
+		So(h.freed(2), ShouldResemble, []slots.Outcome{slots.OutcomeUnsent, slots.OutcomeDone})
+	})
+}
