--- /dev/null
+++ b/test/faults/relay_test.go
@@ -0,0 +1,141 @@
+package faults
+
+import (
+	"io"
+	"net"
+	"sync"
+	"testing"
+)
+
+// relay stands before the peer port of one host. While a source is cut, its
+// bytes and new connections are held back silently, as a partition would.
+type relay struct {
+	listener net.Listener
+	target   string
+	network  *network
+	host     string
+	ended    sync.WaitGroup
+}
+
+// network decides which hosts reach each other.
+type network struct {
+	mu      sync.Mutex
+	changed *sync.Cond
+	byIP    map[string]string          // host by source IP
+	blocked map[string]map[string]bool // from host, to host
+	closed  bool
+}
+
+func newNetwork() *network {
+	n := &network{byIP: map[string]string{}, blocked: map[string]map[string]bool{}}
+	n.changed = sync.NewCond(&n.mu)
+	return n
+}
+
+// cut holds back bytes from one host to another until heal.
+func (n *network) cut(from, to string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.blocked[from] == nil {
+		n.blocked[from] = map[string]bool{}
+	}
+	n.blocked[from][to] = true
+}
+
+// isolate cuts a set of hosts from all others, both ways.
+func (n *network) isolate(inside, outside []string) {
+	for _, a := range inside {
+		for _, b := range outside {
+			n.cut(a, b)
+			n.cut(b, a)
+		}
+	}
+}
+
+func (n *network) heal() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.blocked = map[string]map[string]bool{}
+	n.changed.Broadcast()
+}
+
+func (n *network) close() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.closed = true
+	n.changed.Broadcast()
+}
+
+// pass waits until bytes may go from one host to another; false means the test has ended.
+func (n *network) pass(from, to string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for n.blocked[from][to] && !n.closed {
+		n.changed.Wait()
+	}
+	return !n.closed
+}
+
+func startRelay(t *testing.T, n *network, host, listen, target string) {
+	t.Helper()
+	l, err := net.Listen("tcp", listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &relay{listener: l, target: target, network: n, host: host}
+	r.ended.Go(r.accept)
+	t.Cleanup(func() {
+		n.close()
+		_ = l.Close()
+		r.ended.Wait()
+	})
+}
+
+func (r *relay) accept() {
+	for {
+		c, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		ip := c.RemoteAddr().(*net.TCPAddr).IP.String()
+		r.network.mu.Lock()
+		from := r.network.byIP[ip]
+		r.network.mu.Unlock()
+		go r.join(c, from)
+	}
+}
+
+// join connects to the host and copies both ways.
+func (r *relay) join(in net.Conn, from string) {
+	defer func() { _ = in.Close() }()
+	if !r.network.pass(from, r.host) {
+		return
+	}
+	out, err := net.Dial("tcp", r.target)
+	if err != nil {
+		return
+	}
+	defer func() { _ = out.Close() }()
+	done := make(chan struct{}, 2)
+	go func() { r.copy(out, in, from, r.host); done <- struct{}{} }()
+	go func() { r.copy(in, out, r.host, from); done <- struct{}{} }()
+	<-done
+}
+
+func (r *relay) copy(dst io.Writer, src io.Reader, from, to string) {
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := src.Read(buf)
+		if !r.network.pass(from, to) {
+			return
+		}
+		if n > 0 {
+			if _, err := dst.Write(buf[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
