Test a shutdown under load

Cause: callers with open connections must leave before these are closed. Change: 50 callers that stay until a response says 'Connection: close'; the read deadline of a drained body is taken back.

--- a/internal/entry/caller_body.go
+++ b/internal/entry/caller_body.go
@@ -84,6 +84,7 @@
 	if !waits && b.length <= maxDrain && b.failed() == nil {
 		_ = control.SetReadDeadline(time.Now().Add(drainTimeout))
 		if b.drain() {
+			_ = control.SetReadDeadline(time.Time{})
 			return
 		}
 	}
--- a/internal/entry/shutdown_test.go
+++ b/internal/entry/shutdown_test.go
@@ -126,3 +126,31 @@
 		So(r.status, ShouldEqual, http.StatusOK)
 	})
 }
+
+// Callers with open connections must be told to leave before their connections are closed.
+func TestShutdownUnderLoad(t *testing.T) {
+	Convey("50 callers that stay until told to close lose no request", t, func() {
+		target := startTarget(t, standin.Config{Slots: 100})
+		h := startHost(t, []string{target.Address()})
+		var callers sync.WaitGroup
+		for range 50 {
+			callers.Go(func() {
+				for n := 0; ; n++ {
+					r := h.do("POST", "/s/bookings/rooms?work_ms=5", newKey(), "room 4")
+					if r.err != nil || r.status != http.StatusOK {
+						t.Errorf("request %d: status %d, error %v, %s", n, r.status, r.err, r.body)
+						return
+					}
+					if r.closes {
+						return
+					}
+				}
+			})
+		}
+		eventually(t, "all callers at work", func() bool { return target.Stats().Completed > 500 })
+		shutdown := &Shutdown{Surface: h.surface, Membership: &stepLog{}, Log: h.surface.config.Log,
+			Pause: func(context.Context, time.Duration) error { callers.Wait(); return nil }}
+		So(shutdown.Run(context.Background()), ShouldBeNil)
+		So(<-h.served, ShouldBeNil)
+	})
+}
--- a/internal/entry/transport_test.go
+++ b/internal/entry/transport_test.go
@@ -95,6 +95,7 @@
 		s := bundle.Service{Name: "bookings", Connections: 48}
 		first := u.transportFor(s, 24, "", traffic.Short)
 		So(first.MaxIdleConnsPerHost, ShouldEqual, 2)
+		So(first.IdleConnTimeout, ShouldBeBetween, 0, time.Minute) // targets keep idle connections for a minute
 		So(u.transportFor(s, 24, "", traffic.Bulk), ShouldEqual, first)
 		s.Connections = 96
 		So(u.transportFor(s, 24, "", traffic.Short).MaxIdleConnsPerHost, ShouldEqual, 4)
