--- a/internal/zone/beat.go
+++ b/internal/zone/beat.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"hash/fnv"
 	"math/rand/v2"
 	"strings"
 	"time"
@@ -53,7 +55,7 @@
 	defer z.directory.mu.Unlock()
 	return beatRequest{
 		Incarnation: z.cfg.Incarnation, InFlight: int(z.inFlight.Load()), Leaving: z.leaving.Load(),
-		Term: z.directory.fromTerm, Version: z.directory.fromSeen,
+		Term: z.directory.fromTerm, Version: z.directory.fromSeen, HostsSum: z.directory.hostsSum,
 	}
 }
 
@@ -75,7 +77,10 @@
 	z.directory.mu.Lock()
 	defer z.directory.mu.Unlock()
 	z.directory.fromTerm, z.directory.fromSeen = r.Term, r.Version
-	z.directory.hosts, z.directory.hostsHeard = r.Hosts, now
+	z.directory.hostsHeard = now
+	if len(r.Hosts) > 0 {
+		z.directory.hosts, z.directory.hostsSum = r.Hosts, checksum(r.Hosts)
+	}
 }
 
 func (z *Zone) handleBeat(_ context.Context, from string, r beatRequest) (beatReply, error) {
@@ -92,7 +97,10 @@
 	if r.Term != c.term {
 		since = 0
 	}
-	reply := beatReply{Coordinator: z.cfg.Host, Term: c.term, Hosts: z.hostStates(c, now)}
+	reply := beatReply{Coordinator: z.cfg.Host, Term: c.term}
+	if hosts := z.hostStates(c, now); checksum(hosts) != r.HostsSum {
+		reply.Hosts = hosts
+	}
 	reply.Summaries, reply.Version = z.directory.newer(now, since, z.cfg.AvailabilityZone)
 	return reply, nil
 }
@@ -113,13 +121,26 @@
 			Silent: now.Sub(beat.heard) >= silentAfter,
 		}
 		if !state.Leaving && !state.Silent {
-			state.Spare = max(nominalInFlight-beat.inFlight, 1)
+			state.Spare = spare(beat.inFlight)
 		}
 		states = append(states, state)
 	}
 	return states
 }
 
+// spare is the weight of a host in look-ups, in steps so that states seldom change.
+func spare(inFlight int) int {
+	return max((nominalInFlight-inFlight)/spareStep*spareStep, 1)
+}
+
+func checksum(hosts []hostState) uint32 {
+	h := fnv.New32a()
+	for _, s := range hosts {
+		fmt.Fprintln(h, s.Name, s.Spare, s.Leaving, s.Silent)
+	}
+	return h.Sum32()
+}
+
 // anyHost returns a random entry host of a zone other than this one, or "".
 func (z *Zone) anyHost(zone string) string {
 	hosts := z.layout().hosts[zone]
--- a/internal/zone/cluster_test.go
+++ b/internal/zone/cluster_test.go
@@ -31,7 +31,7 @@
 
 // cluster is a deployment of two regions: r1 with zones a and b, r2 with c.
 type cluster struct {
-	t     *testing.T
+	t     testing.TB
 	hosts map[string]*testHost
 	next  int
 	mu    sync.Mutex // guards the runtimes of hosts against restarts during announcements
@@ -43,7 +43,7 @@
 	{Name: "c", Region: "r2", TargetPrefixes: []string{"10.3.0.0/16"}},
 }
 
-func newCluster(t *testing.T, perZone int, zones ...string) *cluster {
+func newCluster(t testing.TB, perZone int, zones ...string) *cluster {
 	c := &cluster{t: t, hosts: map[string]*testHost{}}
 	for _, az := range zones {
 		for i := range perZone {
--- a/internal/zone/coordinator.go
+++ b/internal/zone/coordinator.go
@@ -20,6 +20,7 @@
 	known   map[string]string // newest incarnation of holders
 	asking  map[string]bool   // hosts with an open question about held permits
 	since   time.Time
+	layout  *layout // whose policy the pool has
 }
 
 // hostBeat is the last heartbeat of an entry host of the zone.
--- a/internal/zone/directory.go
+++ b/internal/zone/directory.go
@@ -15,6 +15,7 @@
 
 	hosts      []hostState // of the own zone
 	hostsHeard time.Time
+	hostsSum   uint32
 	fromTerm   uint64 // coordinator that fromSeen counts for
 	fromSeen   uint64 // newest summary version received from it
 }
--- a/internal/zone/message.go
+++ b/internal/zone/message.go
@@ -24,13 +24,14 @@
 	Leaving     bool   `cbor:"3,keyasint,omitempty"`
 	Term        uint64 `cbor:"4,keyasint,omitempty"` // term of the coordinator that Version belongs to
 	Version     uint64 `cbor:"5,keyasint,omitempty"` // newest summary the host has
+	HostsSum    uint32 `cbor:"6,keyasint,omitempty"` // checksum of the host states it has
 }
 
 type beatReply struct {
 	Coordinator string      `cbor:"1,keyasint,omitempty"` // as far as the replier knows
 	Term        uint64      `cbor:"2,keyasint,omitempty"` // zero: the replier is not the coordinator
 	Version     uint64      `cbor:"3,keyasint,omitempty"`
-	Hosts       []hostState `cbor:"4,keyasint,omitempty"`
+	Hosts       []hostState `cbor:"4,keyasint,omitempty"` // left out if the host has them
 	Summaries   []summary   `cbor:"5,keyasint,omitempty"`
 }
 
--- a/internal/zone/serve.go
+++ b/internal/zone/serve.go
@@ -14,11 +14,14 @@
 	if c == nil {
 		return
 	}
-	policy := z.layout().policy(z.cfg.AvailabilityZone)
+	l := z.layout()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := z.cfg.Now()
-	c.pool.SetPolicy(now, policy)
+	if c.layout != l {
+		c.layout = l
+		c.pool.SetPolicy(now, l.policy(z.cfg.AvailabilityZone))
+	}
 	c.pool.Tick(now)
 	c.deliver()
 }
--- a/internal/zone/timing.go
+++ b/internal/zone/timing.go
@@ -41,4 +41,6 @@
 	// nominalInFlight is the number of requests in flight at which an entry
 	// host counts as full for the weights of look-ups.
 	nominalInFlight = 256
+	// spareStep rounds spare capacity; states that do not change are not sent.
+	spareStep = 16
 )
--- a/internal/zone/view.go
+++ b/internal/zone/view.go
@@ -97,7 +97,7 @@
 		if name == z.cfg.Host {
 			// The host itself is always known, even before the first heartbeat.
 			h.Heard, h.Silent, h.Leaving = now, false, z.leaving.Load() || l.drained[name]
-			h.Spare = max(nominalInFlight-int(z.inFlight.Load()), 1)
+			h.Spare = spare(int(z.inFlight.Load()))
 		}
 		if h.Leaving || h.Silent {
 			h.Spare = 0
--- a/pkg/slots/acquire.go
+++ b/pkg/slots/acquire.go
@@ -65,7 +65,7 @@
 	if p.Recovering() || now.Sub(p.started) < AnnounceLifetime {
 		return 0
 	}
-	if live, _ := s.live(now, p.policy); live == 0 {
+	if live, _ := s.live(now); live == 0 {
 		return never
 	}
 	if s.queue.empty() {
--- a/pkg/slots/announce.go
+++ b/pkg/slots/announce.go
@@ -41,13 +41,13 @@
 func (p *Pool) renew(now time.Time, t *target, a Announcement) {
 	switch {
 	case t.heard.IsZero():
-		t.since = p.firstSeen(now, a)
+		t.since, t.warm = p.firstSeen(now, a), false
 	case a.Incarnation != t.incarnation:
-		t.since, t.leaving, t.failures, t.pausedUntil = now, false, 0, time.Time{}
+		t.since, t.warm, t.leaving, t.failures, t.pausedUntil = now, false, false, 0, time.Time{}
 	case !t.fresh(now):
-		t.since = now
+		t.since, t.warm = now, false
 	}
-	t.incarnation, t.sequence, t.heard = a.Incarnation, a.Sequence, now
+	t.incarnation, t.sequence, t.heard, t.silentAt = a.Incarnation, a.Sequence, now, now.Add(AnnounceLifetime)
 	t.slots, t.connections, t.load = a.Slots, a.Connections, a.Load
 	t.leaving = t.leaving || a.State == Leaving
 }
@@ -66,7 +66,7 @@
 
 func (p *Pool) add(name, address string) *target {
 	s := p.service(name)
-	t := &target{address: address}
+	t := &target{address: address, drained: p.policy.DrainedTargets[address]}
 	s.targets = append(s.targets, t)
 	p.targets[address], p.owner[address] = t, s
 	return t
--- a/pkg/slots/announce_test.go
+++ b/pkg/slots/announce_test.go
@@ -104,7 +104,9 @@
 		{"target drained", func(f *fixture) {
 			f.announce(4)
 			f.after(warmUp, 4)
-			f.pool.policy.DrainedTargets = map[string]bool{address(1): true}
+			p := f.pool.policy
+			p.DrainedTargets = map[string]bool{address(1): true}
+			f.pool.SetPolicy(f.now, p)
 		}, 0},
 		{"zone or region drained", func(f *fixture) { f.announce(4); f.after(warmUp, 4); f.pool.policy.Drained = true }, 0},
 	}
--- a/pkg/slots/pool.go
+++ b/pkg/slots/pool.go
@@ -42,6 +42,9 @@
 // SetPolicy puts a new bundle's limits and drains in force.
 func (p *Pool) SetPolicy(now time.Time, policy Policy) {
 	p.policy = policy
+	for address, t := range p.targets {
+		t.drained = policy.DrainedTargets[address]
+	}
 	p.serveAll(now)
 }
 
--- a/pkg/slots/service.go
+++ b/pkg/slots/service.go
@@ -15,9 +15,9 @@
 
 // live counts the targets that announce themselves as ready, and those of them
 // that look dead.
-func (s *service) live(now time.Time, p Policy) (live, dead int) {
+func (s *service) live(now time.Time) (live, dead int) {
 	for _, t := range s.targets {
-		if !t.fresh(now) || t.leaving || p.DrainedTargets[t.address] {
+		if !t.live(now) {
 			continue
 		}
 		live++
@@ -35,14 +35,11 @@
 	if p.Drained {
 		return nil
 	}
-	limits, doubted := p.Services[s.name], s.doubted(now, p)
+	limits, doubted := p.Services[s.name], s.doubted(now)
 	var best *target
 	var bestUsable int
 	for _, t := range s.targets {
-		if !t.fresh(now) || t.leaving || p.DrainedTargets[t.address] || slices.Contains(exclude, t.address) {
-			continue
-		}
-		if t.suspect() && !doubted && now.Before(t.probeAt) {
+		if t.suspect() && !doubted && now.Before(t.probeAt) || !t.live(now) || slices.Contains(exclude, t.address) {
 			continue
 		}
 		usable := t.usable(now, limits, doubted)
@@ -58,8 +55,11 @@
 
 // doubted reports whether more than half of the live targets look dead at
 // once: then the measurement is the likelier fault and shares stay.
-func (s *service) doubted(now time.Time, p Policy) bool {
-	live, dead := s.live(now, p)
+func (s *service) doubted(now time.Time) bool {
+	if !slices.ContainsFunc(s.targets, (*target).suspect) {
+		return false
+	}
+	live, dead := s.live(now)
 	return 2*dead > live
 }
 
--- a/pkg/slots/stats.go
+++ b/pkg/slots/stats.go
@@ -23,11 +23,11 @@
 
 func (p *Pool) serviceStats(now time.Time, s *service) Stats {
 	out := Stats{Queued: len(s.queue.classes[0]) + len(s.queue.classes[1])}
-	out.Targets, out.Suspect = s.live(now, p.policy)
-	limits, doubted := p.policy.Services[s.name], s.doubted(now, p.policy)
+	out.Targets, out.Suspect = s.live(now)
+	limits, doubted := p.policy.Services[s.name], s.doubted(now)
 	for _, t := range s.targets {
 		out.Outstanding += t.outstanding
-		if !t.fresh(now) || t.leaving || p.policy.DrainedTargets[t.address] || p.policy.Drained {
+		if !t.live(now) || p.policy.Drained {
 			continue
 		}
 		usable := t.usable(now, limits, doubted)
--- a/pkg/slots/target.go
+++ b/pkg/slots/target.go
@@ -10,8 +10,11 @@
 	slots       int
 	connections int
 	leaving     bool
+	drained     bool
 	heard       time.Time // zero: known from a holder only
+	silentAt    time.Time // end of the announcement's lifetime
 	since       time.Time // start of the warm-up
+	warm        bool      // the warm-up has ended
 	load        float64
 
 	outstanding int // permits that may be in use
@@ -22,9 +25,12 @@
 }
 
 func (t *target) fresh(now time.Time) bool {
-	return !t.heard.IsZero() && now.Sub(t.heard) < AnnounceLifetime
+	return now.Before(t.silentAt)
 }
 
+// live reports whether the target announces itself as ready for new work.
+func (t *target) live(now time.Time) bool { return !t.leaving && !t.drained && t.fresh(now) }
+
 func (t *target) suspect() bool { return t.failures >= failuresToSuspect }
 
 // usable returns how many slots may be in use at the target at now.
@@ -33,8 +39,8 @@
 	if l.Slots > 0 {
 		n = min(n, l.Slots)
 	}
-	if age := now.Sub(t.since); age < l.WarmUp && n > 1 {
-		n = 1 + int(float64(n-1)*float64(max(age, 0))/float64(l.WarmUp))
+	if !t.warm {
+		n = t.ramp(now, l.WarmUp, n)
 	}
 	if t.suspect() && !doubted {
 		n = min(n, 1)
@@ -42,9 +48,23 @@
 	return n
 }
 
-// last reports whether the target is chosen only if no other one is free:
+// ramp limits n slots during the warm-up. Targets that are warm skip the time
+// arithmetic, which otherwise takes most of the choice.
+func (t *target) ramp(now time.Time, warmUp time.Duration, n int) int {
+	age := max(now.Sub(t.since), 0)
+	if age >= warmUp {
+		t.warm = true
+		return n
+	}
+	if n <= 1 {
+		return n
+	}
+	return 1 + int(float64(n-1)*float64(age)/float64(warmUp))
+}
+
+// last reports whether the live target is chosen only if no other one is free:
 // it has just shed load or reports that it is full. Such figures never take a
 // target out, because they may be wrong.
 func (t *target) last(now time.Time) bool {
-	return now.Before(t.pausedUntil) || t.fresh(now) && t.load >= saturatedLoad
+	return t.load >= saturatedLoad || now.Before(t.pausedUntil)
 }
