Count permits of hosts that a bundle adds or removes

Cause: a recovery asked only the hosts of the bundle in force. Permits of a host that a newer bundle had removed, or that the coordinator's older bundle did not list yet, would have been missed and their slots granted twice. Change: a removed host is asked for the hold limit longer; a coordinator refuses requests of hosts its bundle does not list. Conclusion: a host process that restarts right after the removal knows only the new bundle; that case remains open.

--- a/internal/zone/announce.go
+++ b/internal/zone/announce.go
@@ -32,20 +32,24 @@
 		Service: a.Service, Address: a.Address, Incarnation: a.Incarnation, Sequence: a.Sequence,
 		Slots: a.Slots, Connections: a.Connections, Leaving: a.Leaving, Load: a.Load,
 	}
-	host := z.coordinatorHint()
-	if host == "" {
-		return unavailable(z.cfg.AvailabilityZone)
-	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	reply, err := ask(ctx, z, host, "target.announce", request, z.handleAnnounce)
-	switch {
-	case err != nil || reply.NotCoordinator:
-		return unavailable(z.cfg.AvailabilityZone)
-	case reply.Code != "":
-		return &AnnounceError{Code: reply.Code, Message: reply.Message}
+	for range 2 { // the first coordinator known may have just lost its lease
+		host := z.coordinatorHint()
+		if host == "" {
+			break
+		}
+		reply, err := ask(ctx, z, host, "target.announce", request, z.handleAnnounce)
+		switch {
+		case err != nil || reply.NotCoordinator:
+			z.directory.forget(z.cfg.AvailabilityZone, host)
+		case reply.Code != "":
+			return &AnnounceError{Code: reply.Code, Message: reply.Message}
+		default:
+			return nil
+		}
 	}
-	return nil
+	return unavailable(z.cfg.AvailabilityZone)
 }
 
 func (z *Zone) checkAddress(a Announcement) error {
--- a/internal/zone/directory.go
+++ b/internal/zone/directory.go
@@ -11,6 +11,7 @@
 	mu           sync.Mutex
 	coordinators map[string]reference // by zone
 	summaries    map[string]entry     // by zone
+	unanswered   map[string]time.Time // by zone, when hosts were last asked for its coordinator in vain
 	version      uint64               // counts summaries taken in
 
 	hosts      []hostState // of the own zone
@@ -35,7 +36,7 @@
 }
 
 func newDirectory() *directory {
-	return &directory{coordinators: map[string]reference{}, summaries: map[string]entry{}}
+	return &directory{coordinators: map[string]reference{}, summaries: map[string]entry{}, unanswered: map[string]time.Time{}}
 }
 
 // learn notes a coordinator. A hint replaces a known coordinator only if that
@@ -73,6 +74,22 @@
 	return ref.host
 }
 
+// askable reports whether hosts of a zone may be asked for its coordinator;
+// after a vain question there is a pause.
+func (d *directory) askable(now time.Time, zone string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	at, failed := d.unanswered[zone]
+	return !failed || now.Sub(at) >= askPause
+}
+
+// failed notes that a zone's coordinator was asked for in vain.
+func (d *directory) failed(now time.Time, zone string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.unanswered[zone] = now
+}
+
 // store takes a summary in unless a newer one is known.
 func (d *directory) store(now time.Time, s summary) {
 	heard := now.Add(-milliseconds(s.AgeMs))
--- a/internal/zone/layout.go
+++ b/internal/zone/layout.go
@@ -8,6 +8,7 @@
 
 	"github.com/hornbeamstack/hornbeamstack/pkg/bundle"
 	"github.com/hornbeamstack/hornbeamstack/pkg/slots"
+	"github.com/hornbeamstack/hornbeamstack/pkg/zonelease"
 )
 
 // layout is the part of a bundle that zone coordination reads, indexed once
@@ -20,13 +21,38 @@
 	zoneOf   map[string]string   // zone of a host
 	regionOf map[string]string   // region of a zone
 	prefixes map[string][]netip.Prefix
-	drained  map[string]bool // hosts
+	drained  map[string]bool      // hosts
+	former   map[string]time.Time // hosts of earlier bundles, until when they may hold permits
 }
 
-func newLayout(b *bundle.Bundle) *layout {
+// newLayout indexes a bundle. Hosts that the previous bundle listed may hold
+// permits for a while longer, and are asked for them in a recovery.
+func newLayout(now time.Time, b *bundle.Bundle, previous *layout) *layout {
+	l := indexBundle(b)
+	if previous == nil {
+		return l
+	}
+	for host, until := range previous.former {
+		l.keepFormer(previous, host, until)
+	}
+	hold := previous.policy("").HoldLimit() + zonelease.LeaseDuration
+	for host := range previous.zoneOf {
+		l.keepFormer(previous, host, now.Add(hold))
+	}
+	return l
+}
+
+func (l *layout) keepFormer(previous *layout, host string, until time.Time) {
+	if _, listed := l.zoneOf[host]; !listed {
+		l.former[host], l.peer[host] = until, previous.peer[host]
+	}
+}
+
+func indexBundle(b *bundle.Bundle) *layout {
 	l := &layout{
 		bundle: b, hosts: map[string][]string{}, peer: map[string]string{}, zoneOf: map[string]string{},
 		regionOf: map[string]string{}, prefixes: map[string][]netip.Prefix{}, drained: map[string]bool{},
+		former: map[string]time.Time{},
 	}
 	if b == nil {
 		l.bundle = &bundle.Bundle{}
@@ -64,9 +90,14 @@
 	}
 }
 
-// entryHosts returns the entry hosts of all zones.
-func (l *layout) entryHosts() []string {
+// holders returns the entry hosts that may hold permits at now.
+func (l *layout) holders(now time.Time) []string {
 	var all []string
+	for host, until := range l.former {
+		if now.Before(until) {
+			all = append(all, host)
+		}
+	}
 	for _, zone := range l.zones {
 		all = append(all, l.hosts[zone]...)
 	}
--- a/internal/zone/lease.go
+++ b/internal/zone/lease.go
@@ -49,7 +49,7 @@
 	}
 	if current == nil && holds {
 		l := z.layout()
-		c := newCoordinator(now, z.candidate.Term(), l.policy(z.cfg.AvailabilityZone), l.entryHosts())
+		c := newCoordinator(now, z.candidate.Term(), l.policy(z.cfg.AvailabilityZone), l.holders(now))
 		z.coordinating.Store(c)
 		z.cfg.Log.Info("coordination started", "zone", z.cfg.AvailabilityZone, "term", c.term)
 	}
--- a/internal/zone/serve.go
+++ b/internal/zone/serve.go
@@ -32,6 +32,10 @@
 	if c == nil {
 		return z.notCoordinator(), nil
 	}
+	if _, listed := z.layout().zoneOf[from]; !listed {
+		// A coming coordinator would not ask an unlisted host for its permits.
+		return acquireReply{Status: statusBusy, RetryAfterMs: noCoordinatorRetry.Milliseconds()}, nil
+	}
 	id := slots.ID{Holder: slots.Holder{Host: from, Incarnation: r.Incarnation}, Number: r.Number}
 	request := slots.Request{
 		ID: id, Service: r.Service, Class: r.Class, Exclude: r.Exclude,
--- a/internal/zone/summary.go
+++ b/internal/zone/summary.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -101,14 +102,17 @@
 	if host := z.directory.coordinator(z.cfg.Now(), zone); host != "" {
 		return host
 	}
-	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
-	defer cancel()
 	host := z.anyHost(zone)
-	if host == "" {
+	if host == "" || !z.directory.askable(z.cfg.Now(), zone) {
 		return ""
 	}
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
 	reply, err := ask(ctx, z, host, "zone.summary", summaryRequest{}, z.handleSummary)
 	if err != nil || reply.Coordinator == "" {
+		if !errors.Is(err, context.Canceled) {
+			z.directory.failed(z.cfg.Now(), zone)
+		}
 		return ""
 	}
 	z.directory.learn(z.cfg.Now(), zone, reply.Coordinator, 0)
--- a/internal/zone/zone.go
+++ b/internal/zone/zone.go
@@ -94,11 +94,14 @@
 // layout returns the index of the bundle in force.
 func (z *Zone) layout() *layout {
 	b := z.cfg.Bundle()
-	if l := z.layouts.Load(); l != nil && (l.bundle == b || b == nil) {
-		return l
+	previous := z.layouts.Load()
+	if previous != nil && (previous.bundle == b || b == nil) {
+		return previous
+	}
+	l := newLayout(z.cfg.Now(), b, previous)
+	if !z.layouts.CompareAndSwap(previous, l) {
+		return z.layouts.Load() // another goroutine has indexed the same bundle
 	}
-	l := newLayout(b)
-	z.layouts.Store(l)
 	return l
 }
 
