--- /dev/null
+++ b/internal/claims/begin_test.go
@@ -0,0 +1,133 @@
+package claims
+
+import (
+	"errors"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/hornbeamstack/hornbeamstack/pkg/claim"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func outcome(err error) string {
+	var r *RefusedError
+	if errors.As(err, &r) {
+		return r.Outcome + " " + r.Code
+	}
+	return ""
+}
+
+// TestContract holds for every transport between entry hosts and stores.
+func TestContract(t *testing.T) {
+	Convey("Over internal/peer", t, func() {
+		contract(t, func(c *cluster, host string) *Client { return c.client(host) })
+	})
+	Convey("In one process", t, func() {
+		contract(t, func(c *cluster, host string) *Client { cl, _ := c.local(host); return cl })
+	})
+}
+
+func contract(t *testing.T, client func(c *cluster, host string) *Client) {
+	Convey("given three stores and two entry hosts", func() {
+		c := startCluster(t, 3)
+		a, b := client(c, "a"), client(c, "b")
+		ctx := testContext(t)
+		key := newKey()
+
+		Convey("the first attempt may send and a resend gets the recorded answer", func() {
+			h, _, err := a.Begin(ctx, "bookings", key)
+			So(err, ShouldBeNil)
+			_, _, err = b.Begin(ctx, "bookings", key)
+			So(outcome(err), ShouldEqual, "in-progress claim-in-progress")
+			h.Finish(answer("booked"))
+			So(a.Drain(ctx), ShouldBeNil)
+			_, got, err := b.Begin(ctx, "bookings", key)
+			So(err, ShouldBeNil)
+			So(string(got.Body), ShouldEqual, "booked")
+		})
+		Convey("a released key may be used again", func() {
+			h, _, err := a.Begin(ctx, "bookings", key)
+			So(err, ShouldBeNil)
+			h.Release()
+			So(a.Drain(ctx), ShouldBeNil)
+			h, _, err = b.Begin(ctx, "bookings", key)
+			So(err, ShouldBeNil)
+			h.Unknown()
+			So(b.Drain(ctx), ShouldBeNil)
+			_, _, err = a.Begin(ctx, "bookings", key)
+			So(outcome(err), ShouldEqual, "unknown claim-unknown")
+		})
+		Convey("of many concurrent attempts at most one may send", func() {
+			var won atomic.Int32
+			var wg sync.WaitGroup
+			for i := range 8 {
+				cl := client(c, string(rune('c'+i)))
+				wg.Go(func() {
+					if h, _, _ := cl.Begin(ctx, "bookings", key); h != nil {
+						won.Add(1)
+						h.Unknown()
+					}
+				})
+			}
+			wg.Wait()
+			So(won.Load(), ShouldBeLessThanOrEqualTo, 1)
+		})
+		Convey("with one of three stores the answer is not-run, with two it works", func() {
+			c.nodes[0].stop()
+			h, _, err := a.Begin(ctx, "bookings", key)
+			So(err, ShouldBeNil)
+			h.Release()
+			c.nodes[1].stop()
+			_, _, err = b.Begin(ctx, "bookings", newKey())
+			So(outcome(err), ShouldEqual, "not-run claim-no-quorum")
+			_, _, err = b.BeginResend(ctx, "bookings", newKey())
+			So(outcome(err), ShouldEqual, "unknown claim-no-quorum")
+		})
+		Convey("keys that are no UUIDv7 and keys of the wrong time are refused", func() {
+			_, _, err := a.Begin(ctx, "bookings", "x")
+			So(outcome(err), ShouldEqual, "not-run claim-bad-key")
+			c.ahead.Store(int64(-claim.Lifetime))
+			_, _, err = a.Begin(ctx, "bookings", key)
+			So(outcome(err), ShouldEqual, "not-run claim-key-in-future")
+			c.ahead.Store(int64(claim.Lifetime + claim.Allowance))
+			_, _, err = a.Begin(ctx, "bookings", key)
+			So(outcome(err), ShouldEqual, "unknown claim-expired")
+		})
+		Convey("an owner that has fallen silent is unknown, one that renews is in progress", func() {
+			h, _, err := a.Begin(ctx, "bookings", key)
+			So(err, ShouldBeNil)
+			defer h.Unknown()
+			h.renew.Stop()
+			c.awaitRecords(1) // a vote that is still on its way would count as recent
+			c.ahead.Store(int64(claim.RecentLimit))
+			_, _, err = b.Begin(ctx, "bookings", key)
+			So(outcome(err), ShouldEqual, "unknown claim-unknown")
+			So(h.renewOnce().Wait, ShouldNotPanic)
+			_, _, err = b.Begin(ctx, "bookings", key)
+			So(outcome(err), ShouldEqual, "in-progress claim-in-progress")
+		})
+		Convey("a result reaches a store that was away", func() {
+			c.nodes[0].stop()
+			h, _, err := a.Begin(ctx, "bookings", key)
+			So(err, ShouldBeNil)
+			h.Finish(answer("booked"))
+			c.restart(0, false)
+			So(a.Drain(ctx), ShouldBeNil)
+			So(c.nodes[0].service.Len(), ShouldEqual, 1)
+		})
+		Convey("a store that lost its disk copies before it votes", func() {
+			h, _, err := a.Begin(ctx, "bookings", key)
+			So(err, ShouldBeNil)
+			h.Finish(answer("booked"))
+			So(a.Drain(ctx), ShouldBeNil)
+			c.restart(0, true)
+			c.awaitReady(0)
+			c.restart(1, false)
+			c.nodes[2].stop()
+			_, got, err := b.Begin(ctx, "bookings", key)
+			So(err, ShouldBeNil)
+			So(string(got.Body), ShouldEqual, "booked")
+		})
+	})
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"sync"
 
 	"github.com/fxamacker/cbor/v2"
@@ -13,6 +14,8 @@
 	self    string
 	traffic *Traffic
 
+	local *net.TCPAddr // source of connections, nil for the system's choice
+
 	mu       sync.Mutex
 	closed   bool
 	sessions map[string]*session
@@ -23,6 +26,10 @@
 	return &Client{self: self, traffic: &Traffic{}, sessions: map[string]*session{}}
 }
 
+// Bind makes connections start from an IP of this host, so that they carry its
+// configured address on a host with several. Call it before the first message.
+func (c *Client) Bind(ip net.IP) { c.local = &net.TCPAddr{IP: ip} }
+
 // Traffic returns the byte counters of opened connections.
 func (c *Client) Traffic() *Traffic { return c.traffic }
 
@@ -88,7 +95,7 @@
 	}
 	s, ok := c.sessions[addr]
 	if !ok {
-		s = newSession(addr, c.traffic, func(s *session) { c.forget(s) })
+		s = newSession(addr, c.local, c.traffic, func(s *session) { c.forget(s) })
 		c.sessions[addr] = s
 		go s.run()
 	}
