Test a coordinator that is silent beyond its lease and comes back

Cause: the silent coordinator was covered only without network. Change: loopback test that cuts the coordinator off both ways, checks that the region serves the zone's requests, and restores it.

--- a/internal/zone/partition_test.go
+++ b/internal/zone/partition_test.go
@@ -42,3 +42,57 @@
 		})
 	}
 }
+
+// Guards against grants of a coordinator that was silent beyond its lease, a
+// region that waits for its zone, and a zone that does not recover when the
+// host is back.
+func TestCoordinatorSilentAndBack(t *testing.T) {
+	c := newCluster(t, 3, "a", "b")
+	first := c.coordinator("a", "")
+	c.coordinator("b", "")
+	var other *testHost
+	for _, h := range c.hosts {
+		if h.az == "a" && h != first {
+			other = h
+		}
+	}
+	c.announce(other, "10.1.0.1:80", 1)
+	c.announce(c.hosts["b0"], "10.2.0.1:80", 1)
+	held, err := c.acquire(first, long, false)
+	if err != nil || held.Target != "10.1.0.1:80" {
+		t.Fatalf("got %+v, %v, want the own zone's slot", held, err)
+	}
+	for _, h := range c.hosts {
+		if h == first {
+			c.cut(h, func(string) bool { return true })
+		} else {
+			c.cut(h, func(name string) bool { return name == first.name })
+		}
+	}
+	c.eventually("another host coordinates", func() bool {
+		for _, h := range c.hosts {
+			if own, _ := h.lease(); h.az == "a" && h != first && own != nil {
+				return true
+			}
+		}
+		return false
+	})
+	if own, _ := first.lease(); own != nil {
+		t.Fatal("the silent coordinator still holds its lease")
+	}
+	p, err := c.acquire(other, long, false)
+	if err != nil || p.Target != "10.2.0.1:80" {
+		t.Fatalf("got %+v, %v, want the other zone's slot while the own zone recovers", p, err)
+	}
+	for _, h := range c.hosts {
+		h.bundle.Store(c.bundle())
+	}
+	next := c.coordinator("a", "")
+	if f := c.figures(next); f.Outstanding != 1 {
+		t.Fatalf("the new coordinator counts %+v, want the slot of the host that was silent", f)
+	}
+	held.Release(slots.OutcomeDone)
+	if p, err = c.acquire(other, long, false); err != nil || p.Target != "10.1.0.1:80" {
+		t.Fatalf("got %+v, %v, want the own zone's slot", p, err)
+	}
+}
