--- a/internal/entry/surface.go
+++ b/internal/entry/surface.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net"
 	"net/http"
 	"strings"
@@ -34,8 +35,6 @@
 	s := &Surface{config: c, metrics: newInstruments(c.Registry)}
 	s.forward = newForwarder(c, s.metrics, s.refuse)
 	s.server = kratos.NewServer(
-		kratos.Listener(callerListener{c.Listener, c.Timeouts.CallerStall}),
-		kratos.Address(c.Listener.Addr().String()),
 		kratos.Timeout(c.Timeouts.Control),
 		kratos.StrictSlash(false),
 		kratos.Filter(s.split),
@@ -96,7 +95,15 @@
 
 // Serve accepts connections until Shutdown. The context is the base of all
 // request contexts and must outlive the requests in flight.
-func (s *Surface) Serve(ctx context.Context) error { return s.server.Start(ctx) }
+// The Start and Stop of kratos are not used, as they log in a form of their own.
+func (s *Surface) Serve(ctx context.Context) error {
+	s.server.BaseContext = func(net.Listener) context.Context { return ctx }
+	err := s.server.Serve(callerListener{s.config.Listener, s.config.Timeouts.CallerStall})
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
 
 // SetLeaving makes /readyz fail and asks callers to close their connections.
 func (s *Surface) SetLeaving() { s.leaving.Store(true) }
@@ -109,7 +116,7 @@
 
 // Finish stops accepting connections and waits for all requests in flight.
 func (s *Surface) Finish(ctx context.Context) error {
-	err := s.server.Stop(ctx)
+	err := s.server.Shutdown(ctx)
 	s.forward.upstream.closeIdle()
 	return err
 }
