Accept a restarted host as the next coordinator in the failover test

Cause: one of three repeated runs of TestFailover failed in the case of a killed and restarted coordinator. The checks on the held slot, the stream and the waiting request are unchanged; the old coordinator cannot be found, since its lease has been given up. Conclusion: the fault was in the test.

--- a/internal/zone/bench_test.go
+++ b/internal/zone/bench_test.go
@@ -59,7 +59,7 @@
 // One permit over loopback from a host that does not coordinate, in parallel.
 func BenchmarkAcquireOverLoopback(b *testing.B) {
 	c := newCluster(b, 2, "a")
-	coordinator := c.coordinator("a", "")
+	coordinator := c.coordinator("a")
 	for i := range 24 {
 		c.announce(coordinator, fmt.Sprintf("10.1.0.%d:80", i), 3)
 	}
@@ -86,7 +86,7 @@
 func BenchmarkIdleTraffic(b *testing.B) {
 	c := newCluster(b, 4, "a", "b", "c")
 	for _, az := range []string{"a", "b", "c"} {
-		c.coordinator(az, "")
+		c.coordinator(az)
 	}
 	const seconds = 5
 	total := func() (n int64) {
--- a/internal/zone/cluster_test.go
+++ b/internal/zone/cluster_test.go
@@ -132,11 +132,11 @@
 }
 
 // coordinator waits until a host of the zone coordinates and has recovered.
-func (c *cluster) coordinator(az string, except string) *testHost {
+func (c *cluster) coordinator(az string) *testHost {
 	var found *testHost
 	c.eventually("coordinator of "+az, func() bool {
 		for _, h := range c.hosts {
-			if h.az != az || h.name == except {
+			if h.az != az {
 				continue
 			}
 			if own, _ := h.lease(); own != nil && !own.recovering() {
--- a/internal/zone/failover_test.go
+++ b/internal/zone/failover_test.go
@@ -17,7 +17,7 @@
 	} {
 		t.Run("coordinator "+name, func(t *testing.T) {
 			c := newCluster(t, 3, "a")
-			first := c.coordinator("a", "")
+			first := c.coordinator("a")
 			var others []*testHost
 			for _, h := range c.hosts {
 				if h != first {
@@ -36,7 +36,7 @@
 				got <- p
 			}()
 			stop(c, first)
-			next := c.coordinator("a", first.name)
+			next := c.coordinator("a")
 			c.eventually("the target's new announcement", func() bool { return c.figures(next).Targets == 1 })
 			if f := c.figures(next); f.Outstanding != 1 || f.Free != 0 {
 				t.Fatalf("the new coordinator counts %+v, want the held slot", f)
@@ -60,8 +60,8 @@
 // have slots, and against a region that stays out after its return.
 func TestRegionLostAndReturned(t *testing.T) {
 	c := newCluster(t, 1, "a", "c")
-	c.coordinator("a", "")
-	c.coordinator("c", "")
+	c.coordinator("a")
+	c.coordinator("c")
 	c.announce(c.hosts["a0"], "10.1.0.1:80", 1)
 	c.announce(c.hosts["c0"], "10.3.0.1:80", 1)
 	own, err := c.acquire(c.hosts["a0"], long, true)
@@ -87,8 +87,8 @@
 // other zones.
 func TestLeavingIsSeenEverywhere(t *testing.T) {
 	c := newCluster(t, 2, "a", "b")
-	c.coordinator("a", "")
-	c.coordinator("b", "")
+	c.coordinator("a")
+	c.coordinator("b")
 	leaving := func(at string) func() bool {
 		return func() bool {
 			for _, h := range c.hosts[at].View().Hosts {
--- a/internal/zone/layout_test.go
+++ b/internal/zone/layout_test.go
@@ -38,7 +38,7 @@
 		t.Fatal("a removed host still votes")
 	}
 	c := newCluster(t, 1, "a")
-	c.coordinator("a", "")
+	c.coordinator("a")
 	c.announce(c.hosts["a0"], "10.1.0.1:80", 1)
 	r, err := c.hosts["a0"].handleAcquire(context.Background(), "stranger", acquireRequest{Service: "limits", RemainingMs: 1000})
 	if err != nil || r.Status != statusBusy {
--- a/internal/zone/partition_test.go
+++ b/internal/zone/partition_test.go
@@ -18,8 +18,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := newCluster(t, 2, "a", "b")
-			c.coordinator("a", "")
-			c.coordinator("b", "")
+			c.coordinator("a")
+			c.coordinator("b")
 			c.announce(c.hosts["a1"], "10.1.0.1:80", 1)
 			c.announce(c.hosts["b1"], "10.2.0.1:80", 1)
 			for _, h := range c.hosts {
@@ -48,8 +48,8 @@
 // host is back.
 func TestCoordinatorSilentAndBack(t *testing.T) {
 	c := newCluster(t, 3, "a", "b")
-	first := c.coordinator("a", "")
-	c.coordinator("b", "")
+	first := c.coordinator("a")
+	c.coordinator("b")
 	var other *testHost
 	for _, h := range c.hosts {
 		if h.az == "a" && h != first {
@@ -87,7 +87,7 @@
 	for _, h := range c.hosts {
 		h.bundle.Store(c.bundle())
 	}
-	next := c.coordinator("a", "")
+	next := c.coordinator("a")
 	if f := c.figures(next); f.Outstanding != 1 {
 		t.Fatalf("the new coordinator counts %+v, want the slot of the host that was silent", f)
 	}
--- a/internal/zone/zone_test.go
+++ b/internal/zone/zone_test.go
@@ -15,9 +15,9 @@
 func TestAcquireOrder(t *testing.T) {
 	c := newCluster(t, 2, "a", "b", "c")
 	host := c.hosts["a0"]
-	c.coordinator("a", "")
-	c.coordinator("b", "")
-	c.coordinator("c", "")
+	c.coordinator("a")
+	c.coordinator("b")
+	c.coordinator("c")
 	c.announce(c.hosts["a1"], "10.1.0.1:80", 1)
 	c.announce(c.hosts["b1"], "10.2.0.1:80", 1)
 	c.announce(c.hosts["c1"], "10.3.0.1:80", 1)
