--- a/internal/claims/run.go
+++ b/internal/claims/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/hornbeamstack/hornbeamstack/pkg/claim"
@@ -14,25 +15,37 @@
 	registerInterval = 5 * time.Second
 	// copyTimeout bounds one step of a copy.
 	copyTimeout = 5 * time.Second
+	// pageRecords is the number of records in a page of a copy, about: even with
+	// the largest bodies a page stays below the largest message of 128 MiB.
+	pageRecords = 1000
+	// copyCalls is the number of pages that are asked for at a time.
+	copyCalls = 8
 	// keepInterval is the time between checks for old records and for the size of the log.
 	keepInterval = time.Minute
 	// snapshotEvery is the number of records after which a snapshot is taken.
 	snapshotEvery = 100_000
+	// snapshotBytes is the size of records after which a snapshot is taken; records may hold 64 KiB bodies.
+	snapshotBytes = 256 << 20
 )
 
 // Run joins the store if its disk is new, drops old records and takes
-// snapshots, until ctx ends. Votes that are waiting for the log then fail.
+// snapshots, until ctx ends or the log fails. Votes that are waiting for the
+// log then fail, and so do all later ones.
 func (s *StoreService) Run(ctx context.Context) error {
 	defer s.journal.close()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	joined := make(chan struct{})
 	go func() { defer close(joined); s.join(ctx) }()
-	defer func() { <-joined }()
+	defer func() { cancel(); <-joined }()
 	tick := time.NewTicker(keepInterval)
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-s.journal.ended:
+			return s.journal.wait(math.MaxUint64)
 		case <-tick.C:
 			s.keep()
 		}
@@ -45,7 +58,7 @@
 		s.o.Logger.Error("claim records not dropped", "store", s.o.Name, "err", err)
 		return
 	}
-	if s.journal.last()-s.snapshotAt.Load() < snapshotEvery {
+	if s.journal.last()-s.snapshotAt.Load() < snapshotEvery && s.journal.bytes() < snapshotBytes {
 		return
 	}
 	if err := s.saveSnapshot(); err != nil {
