Keep a refused key closed until no earlier send of it can run

Cause: two ways to an untrue 'not run'. And an entry host without a majority of claim stores said 'not run' although an earlier send may have run elsewhere. Ruled out: refusing every resend with 'unknown', since overload refusals would then never be definite. Change: a release that is told as 'not run' closes the key at the stores for 30 s, longer than any deadline (bundles are limited to 25 s) plus the time to collect votes; 'not run' for a closed key needs a majority of stores. Without a majority the outcome is 'unknown' unless Hornbeam-Resend: false declares the first send. Streams whose permit is lost are closed (Permit.Lost), and link payments use the limiter's chunk size. Open: a request that lies unread in the socket of an entry host frozen for more than 30 s is not covered (docs/PROOFS.md).

--- a/internal/claims/begin_test.go
+++ b/internal/claims/begin_test.go
@@ -55,11 +55,15 @@
 			So(err, ShouldBeNil)
 			So(got, ShouldResemble, &claim.Answer{Status: 200, Header: map[string][]string{"Etag": {"1"}}, BodyDropped: true})
 		})
-		Convey("a released key may be used again", func() {
+		// Guards against an earlier send of the key that runs after its caller was told "not run".
+		Convey("a released key is closed for the hold-down and may be used again after it", func() {
 			h, _, err := a.Begin(ctx, "bookings", key)
 			So(err, ShouldBeNil)
 			h.Release()
 			So(a.Drain(ctx), ShouldBeNil)
+			_, _, err = b.Begin(ctx, "bookings", key)
+			So(outcome(err), ShouldEqual, "not-run claim-hold-down")
+			c.ahead.Add(int64(claim.HoldDown))
 			h, _, err = b.Begin(ctx, "bookings", key)
 			So(err, ShouldBeNil)
 			h.Unknown()
--- a/internal/claims/held.go
+++ b/internal/claims/held.go
@@ -45,10 +45,11 @@
 func (h *Held) Unknown() { h.report(nil) }
 
 // Release gives the attempt up for good: nothing was sent, or the target
-// refused it in its documented way. The key may be used again.
+// refused it in its documented way. The key may be used again after
+// claim.HoldDown, when no earlier send of it can be on its way any more.
 func (h *Held) Release() {
 	if h.end() {
-		h.client.release(h.key, h.attempt, h.stores)
+		h.client.release(claim.ReleaseRequest{Key: h.key, Attempt: h.attempt, HoldDown: true}, h.stores)
 		h.client.free(h.key)
 	}
 }
--- a/internal/claims/round.go
+++ b/internal/claims/round.go
@@ -56,12 +56,12 @@
 			}
 		}
 	}
-	return c.release(k, a, to)
+	return c.release(claim.ReleaseRequest{Key: k, Attempt: a}, to)
 }
 
-func (c *Client) release(k claim.Key, a claim.Attempt, to []Store) <-chan struct{} {
+func (c *Client) release(req claim.ReleaseRequest, to []Store) <-chan struct{} {
 	return c.reports.send(to, reportBytes, func(ctx context.Context, s Store) error {
-		return c.transport.release(ctx, s, claim.ReleaseRequest{Key: k, Attempt: a})
+		return c.transport.release(ctx, s, req)
 	})
 }
 
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -20,6 +20,8 @@
 	"github.com/hornbeamstack/hornbeamstack/pkg/slots"
 )
 
+var errPermitLost = errors.New("the slot was given up because its coordinator could not be reached")
+
 var errDeadline = errors.New("deadline passed before the response began")
 
 // attempt is one try to have a request answered by one target.
@@ -228,6 +230,23 @@
 	return f
 }
 
+// endIfLost cancels the attempt if its permit is lost before the returned function is called.
+func (a *attempt) endIfLost() (stop func()) {
+	l, ok := a.permit.(Losable)
+	if !ok {
+		return func() {}
+	}
+	done := make(chan struct{})
+	go func() {
+		select {
+		case <-l.Lost():
+			a.cancel(errPermitLost)
+		case <-done:
+		}
+	}()
+	return func() { close(done) }
+}
+
 // end releases the permit, after the connection was closed or given back.
 func (a *attempt) end(o slots.Outcome) {
 	a.cancel(nil)
--- a/internal/entry/claiming.go
+++ b/internal/entry/claiming.go
@@ -33,6 +33,9 @@
 	case errors.As(err, &refused):
 		p := x.truthful(&Problem{Code: refused.Code, Outcome: refused.Outcome,
 			Message: refused.Message, RetryAfter: refused.RetryAfter})
+		if refused.AttemptOnly && p.Outcome == OutcomeNotRun && !x.call.first {
+			p.Outcome = OutcomeUnknown
+		}
 		p.Status = claimStatus(p.Outcome)
 		return p
 	case x.ctx.Err() != nil:
--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -28,6 +28,8 @@
 	Code       string
 	Message    string
 	RetryAfter time.Duration
+	// AttemptOnly limits "not run" to this attempt; an earlier one may have run.
+	AttemptOnly bool
 }
 
 func (e *ClaimRefusedError) Error() string {
--- a/internal/entry/deliver.go
+++ b/internal/entry/deliver.go
@@ -24,6 +24,7 @@
 			return problem
 		}
 	}
+	defer a.endIfLost()()
 	s.header()
 	s.copy(*buf)
 	return nil
--- a/internal/entry/permits.go
+++ b/internal/entry/permits.go
@@ -36,6 +36,13 @@
 	Release(o slots.Outcome)
 }
 
+// Losable is implemented by permits that can be lost while a response streams:
+// the coordinator no longer counts them, because its renewals went unanswered.
+type Losable interface {
+	// Lost is closed when the connection to the target must be closed.
+	Lost() <-chan struct{}
+}
+
 // BusyError says that no slot becomes free in time.
 type BusyError struct{ RetryAfter time.Duration }
 
--- a/internal/node/adapters.go
+++ b/internal/node/adapters.go
@@ -45,7 +45,7 @@
 	switch {
 	case errors.As(err, &refused):
 		return nil, nil, &entry.ClaimRefusedError{
-			Outcome: refused.Outcome, Code: refused.Code, Message: refused.Message, RetryAfter: refused.RetryAfter,
+			Outcome: refused.Outcome, Code: refused.Code, Message: refused.Message, RetryAfter: refused.RetryAfter, AttemptOnly: refused.AttemptOnly,
 		}
 	case err != nil:
 		return nil, nil, err
--- a/internal/node/limiter.go
+++ b/internal/node/limiter.go
@@ -45,6 +45,15 @@
 	return inner.Wait(ctx, otherRegion, d, c, bytes)
 }
 
+// Chunk implements entry.Chunker.
+func (l *limiter) Chunk(otherRegion string, d traffic.Direction) int {
+	inner := l.inner.Load()
+	if inner == nil {
+		return 1
+	}
+	return inner.Chunk(otherRegion, d)
+}
+
 // headroom returns the unused fraction of the present share.
 func (l *limiter) headroom(otherRegion string, d traffic.Direction) float64 {
 	inner := l.inner.Load()
--- a/pkg/bundle/check_services.go
+++ b/pkg/bundle/check_services.go
@@ -7,6 +7,10 @@
 	"GET": true, "HEAD": true, "OPTIONS": true, "PUT": true, "DELETE": true, "POST": true, "PATCH": true,
 }
 
+// MaxRequestTimeoutMs bounds request_timeout_ms. Claims close a refused key for
+// longer than this, so that no earlier send of it is still on its way afterwards.
+const MaxRequestTimeoutMs = 25_000
+
 func (c *checker) checkServices() {
 	seen := duplicates{}
 	for i, s := range c.b.Services {
@@ -25,6 +29,9 @@
 				c.add(at("service", i, figure.field), "must be %d or more, not %d", figure.least, figure.value)
 			}
 		}
+		if s.RequestTimeoutMs > MaxRequestTimeoutMs {
+			c.add(at("service", i, "request_timeout_ms"), "must be at most %d, not %d", MaxRequestTimeoutMs, s.RequestTimeoutMs)
+		}
 		if s.Connections < s.Slots {
 			c.add(at("service", i, "connections"), "%d connections cannot carry %d slots", s.Connections, s.Slots)
 		}
--- a/pkg/claim/limits.go
+++ b/pkg/claim/limits.go
@@ -11,6 +11,12 @@
 	RecentLimit = 3 * time.Second
 	// RenewInterval is the time between renewals of an owner; two may be lost within RecentLimit.
 	RenewInterval = time.Second
+	// HoldDown is how long a key stays closed after an attempt with it was told
+	// "not run". It outlasts every earlier send of the key that an entry host may
+	// still hold: MaxDeadline plus the time that an attempt has to collect votes.
+	HoldDown = 30 * time.Second
+	// MaxDeadline bounds the time from the arrival of a keyed request to its claim.
+	MaxDeadline = 25 * time.Second
 	// MaxBody is the largest response body that is recorded, in bytes.
 	MaxBody = 64 << 10
 )
--- a/pkg/claim/message.go
+++ b/pkg/claim/message.go
@@ -12,6 +12,7 @@
 	TooOld                         // the key's timestamp is out of its lifetime
 	TooNew                         // the key's timestamp is in the future
 	NotReady                       // the store lost its disk and has not copied yet
+	HeldDown                       // an attempt with the key was told "not run" less than HoldDown ago
 )
 
 // VoteRequest asks a store for its vote.
@@ -44,6 +45,10 @@
 type ReleaseRequest struct {
 	Key     Key     `cbor:"1,keyasint"`
 	Attempt Attempt `cbor:"2,keyasint"`
+	// HoldDown is set by an attempt that had the right to send and whose caller
+	// is told "not run": an earlier send of the key that is still on its way must
+	// not run after that.
+	HoldDown bool `cbor:"3,keyasint,omitempty"`
 }
 
 // ReadRequest asks for the record of a key without voting.
--- a/pkg/claim/proposer.go
+++ b/pkg/claim/proposer.go
@@ -16,6 +16,7 @@
 	Future              // the key's timestamp is in the future; not run
 	Split               // all stores voted, no attempt has a majority
 	NotRun              // too few stores voted; this attempt did not and will not send
+	Closed              // a majority of stores holds the key down; no attempt has run
 )
 
 // Proposer decides one attempt from the replies of the stores. It decides
@@ -141,23 +142,26 @@
 // refusal picks the outcome of an attempt that can no longer win. An attempt
 // that saw another one never says "not run" for the key: the other may run.
 func (p *Proposer) refusal() Decision {
-	seen := map[Verdict]bool{}
+	seen := map[Verdict]int{}
 	recent := false
 	for _, r := range p.replies {
-		seen[r.Verdict] = true
+		seen[r.Verdict]++
 		recent = recent || r.Recent
 	}
 	switch {
-	case seen[Held] && recent && p.split():
+	case seen[Held] > 0 && recent && p.split():
 		return Split
-	case seen[Held] && recent:
+	case seen[Held] > 0 && recent:
 		return InProgress
-	case seen[Held]:
+	case seen[Held] > 0:
 		return NotKnown
-	case seen[TooOld]:
+	case seen[TooOld] > 0:
 		return Expired
-	case seen[TooNew]:
+	case seen[TooNew] > 0:
 		return Future
+	case seen[HeldDown] >= Majority(len(p.stores)):
+		// An attempt that got the right to send since would hold one of these stores.
+		return Closed
 	}
 	return NotRun
 }
--- a/pkg/claim/register.go
+++ b/pkg/claim/register.go
@@ -41,6 +41,8 @@
 		return r.Read(now, k), nil
 	case rec.released(a):
 		return VoteReply{Verdict: WasReleased}, nil
+	case len(rec.Owners) == 0 && now.UnixMilli() < rec.HeldUntil:
+		return VoteReply{Verdict: HeldDown}, nil
 	case len(rec.Owners) == 0:
 		return VoteReply{Verdict: Granted}, r.put(now, k, rec.withOwner(a.interned()))
 	case len(rec.Owners) == 1 && rec.Owners[0] == a:
@@ -65,10 +67,14 @@
 }
 
 // Release gives up an attempt. It is remembered even if this store has not
-// voted for it, so that a vote request that arrives later is refused.
-func (r *Register) Release(now time.Time, k Key, a Attempt) *Mutation {
+// voted for it, so that a vote request that arrives later is refused. With
+// holdDown no other attempt gets a vote for HoldDown.
+func (r *Register) Release(now time.Time, k Key, a Attempt, holdDown bool) *Mutation {
 	rec := r.get(k)
 	next := rec.withRelease(a.interned())
+	if holdDown && next != rec {
+		next = next.withHoldDown(now.Add(HoldDown).UnixMilli())
+	}
 	if rec.Result != Open || next == rec {
 		return nil
 	}
--- a/pkg/claim/scenario_test.go
+++ b/pkg/claim/scenario_test.go
@@ -71,6 +71,34 @@
 			So(a.replies[0].Verdict, ShouldEqual, WasReleased)
 			So(a.replies[1].Verdict, ShouldEqual, WasReleased)
 		})
+		// Guards against an earlier send that runs after its caller was told "not run".
+		Convey("after a release with hold-down no attempt gets a vote until it ends, also from a copy", func() {
+			w.ask(a, 0, 1)
+			for _, s := range []*simStore{s0, s1} {
+				s.write(s.live.Release(w.now, ReleaseRequest{Key: w.key, Attempt: a.Attempt, HoldDown: true}), nil)
+				s.sync()
+			}
+			w.ask(b, 0, 1)
+			So(b.replies[0].Verdict, ShouldEqual, HeldDown)
+			So(w.get(b), ShouldEqual, Closed)
+			s1.format()
+			w.rejoin(s1, nil)
+			c := w.begin("c", 1)
+			w.ask(c, 1)
+			So(c.replies[0].Verdict, ShouldEqual, HeldDown)
+			w.now = w.now.Add(HoldDown)
+			d := w.begin("d", 1)
+			w.ask(d, 0, 1)
+			So(w.get(d), ShouldEqual, MaySend)
+		})
+		Convey("a hold-down seen at a minority does not say that nothing ran", func() {
+			w.ask(a, 0, 1)
+			s0.write(s0.live.Release(w.now, ReleaseRequest{Key: w.key, Attempt: a.Attempt, HoldDown: true}), nil)
+			w.ask(b, 0)
+			b.p.Fail(w.stores[1].name)
+			b.p.Fail(w.stores[2].name)
+			So(b.p.Decision(), ShouldEqual, NotRun)
+		})
 		Convey("a store that copied two owners grants neither until one is released", func() {
 			w.ask(a, 1)
 			w.ask(b, 2)
--- a/pkg/claim/store.go
+++ b/pkg/claim/store.go
@@ -37,7 +37,7 @@
 	if req.Key.Time().Before(s.Gate.Horizon()) {
 		return nil
 	}
-	return s.Register.Release(now, req.Key, req.Attempt)
+	return s.Register.Release(now, req.Key, req.Attempt, req.HoldDown)
 }
 
 // Read returns the holder or the result of a key, after a renewal by its owner.
--- a/test/faults/calls_test.go
+++ b/test/faults/calls_test.go
@@ -30,7 +30,8 @@
 	body    string
 }
 
-func send(method, url, key string) reply {
+// send sends one request; header holds names and values in turn.
+func send(method, url, key string, header ...string) reply {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, url, nil)
@@ -40,6 +41,9 @@
 	if key != "" {
 		req.Header.Set("Idempotency-Key", key)
 	}
+	for i := 0; i < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
 	resp, err := client.Do(req)
 	if err != nil {
 		return reply{}
--- a/test/faults/partition_test.go
+++ b/test/faults/partition_test.go
@@ -1,6 +1,7 @@
 package faults
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -22,9 +23,15 @@
 		if got.outcome == "done" || got.outcome == "replayed" {
 			t.Errorf("a zone without a majority of claim stores ran a booking: %+v", got)
 		}
-		if got.outcome == "not-run" {
-			cut = append(cut, key)
+		if got.outcome != "unknown" {
+			t.Errorf("without a majority of claim stores nobody knows whether an earlier send ran, outcome %q", got.outcome)
 		}
+		key = newKey()
+		got = send(http.MethodPost, "http://"+d.host(entry).HTTP+"/s/bookings/book", key, "Hornbeam-Resend", "false")
+		if got.outcome != "not-run" {
+			t.Errorf("a first send in a cut-off zone: outcome %q, want not-run", got.outcome)
+		}
+		cut = append(cut, key)
 	}
 	for range 3 {
 		d.mustRollout(d.next("127.3.101.200:9000"))
