--- a/internal/replica/replace.go
+++ b/internal/replica/replace.go
@@ -13,23 +13,15 @@
 // returns once it votes. The leader does the same by itself when the host asks
 // for admission at its listed address; Replace also accepts a new address.
 func (g *Group) Replace(ctx context.Context, m Member) error {
-	reply, err := g.hello(ctx, m)
-	if err != nil {
-		return err
-	}
-	server := agree.Server{ID: agree.ID{Name: m.Name, Incarnation: reply.Incarnation}, Peer: m.Peer}
 	for {
-		result := make(chan error, 1)
-		if err := g.do(ctx, func() { result <- g.admit(server) }); err != nil {
-			return err
-		}
-		err := <-result
-		if !errors.Is(err, agree.ErrNotReady) && !errors.Is(err, agree.ErrChangePending) && !errors.Is(err, agree.ErrStillActive) {
+		err := g.tryReplace(ctx, m)
+		var retry *retryError
+		if !errors.As(err, &retry) {
 			return err
 		}
 		select {
 		case <-ctx.Done():
-			return fmt.Errorf("admit %s: %w", server.ID, errors.Join(ctx.Err(), err))
+			return fmt.Errorf("replace %s: %w", m.Name, errors.Join(ctx.Err(), retry.cause))
 		case <-g.quit:
 			return g.stopCause()
 		case <-time.After(retryInterval):
@@ -37,6 +29,30 @@
 	}
 }
 
+// retryError is a cause that may pass.
+type retryError struct{ cause error }
+
+func (e *retryError) Error() string { return e.cause.Error() }
+
+func (g *Group) tryReplace(ctx context.Context, m Member) error {
+	attempt, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	reply, err := g.hello(attempt, m)
+	if err != nil {
+		return &retryError{cause: err}
+	}
+	server := agree.Server{ID: agree.ID{Name: m.Name, Incarnation: reply.Incarnation}, Peer: m.Peer}
+	result := make(chan error, 1)
+	if err := g.do(ctx, func() { result <- g.admit(server) }); err != nil {
+		return err
+	}
+	err = <-result
+	if errors.Is(err, agree.ErrNotReady) || errors.Is(err, agree.ErrChangePending) || errors.Is(err, agree.ErrStillActive) {
+		return &retryError{cause: err}
+	}
+	return err
+}
+
 // admit takes the next step to make a server a voter; ErrChangePending asks to come again.
 func (g *Group) admit(server agree.Server) error {
 	s := g.node.Status()
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -35,6 +35,19 @@
 				So(notLeader.Leader.Name, ShouldEqual, c.leader().name)
 			}
 		})
+		Convey("a leader without a majority reports an unknown result and steps down", func() {
+			l := c.leader()
+			for _, h := range c.hosts {
+				if h != l {
+					c.stop(h.name)
+				}
+			}
+			_, err := l.group.Propose(ctx, []byte("two"))
+			var unknown *UnknownResultError
+			So(errors.As(err, &unknown), ShouldBeTrue)
+			So(l.group.Status().IsLeader, ShouldBeFalse)
+			So(l.group.Status().QuorumUntil.IsZero(), ShouldBeTrue)
+		})
 		Convey("a lost leader is replaced and keeps the history when it returns", func() {
 			old := c.leader().name
 			c.stop(old)
