Log a missing admission once and correct the doc of Replace

Cause: a host that waits for admission logged its reason twice a second, and the doc promised that a new address given to Replace is used for messages. Change: the reason is logged when it changes; the doc names the address in use. Result: go test -race ./internal/replica passes.

--- a/internal/replica/join.go
+++ b/internal/replica/join.go
@@ -22,10 +22,12 @@
 func (g *Group) join() {
 	ticker := time.NewTicker(joinInterval)
 	defer ticker.Stop()
+	reason := "" // last one logged
 	for {
 		if !g.snapshotStatus().Admitted {
-			if err := g.found(); err != nil {
-				g.config.Log.Info("not a member yet", "reason", err)
+			if err := g.found(); err != nil && err.Error() != reason {
+				reason = err.Error()
+				g.config.Log.Info("not a member yet", "reason", reason)
 			}
 			g.askAdmission()
 		}
--- a/internal/replica/replace.go
+++ b/internal/replica/replace.go
@@ -11,7 +11,8 @@
 
 // Replace admits the new incarnation of a member that lost its disk and
 // returns once it votes. The leader does the same by itself when the host asks
-// for admission at its listed address; Replace also accepts a new address.
+// for admission. Messages go to the address in Config.Members; the one in m is
+// used to ask the new host for its incarnation, and for hosts that are not listed.
 func (g *Group) Replace(ctx context.Context, m Member) error {
 	for {
 		err := g.tryReplace(ctx, m)
