Queue in another region when the own one has no room

Cause: after half of a region's targets were lost, requests that the region refused tried other regions once for a slot that is free at that moment; at 80% of slots busy a zone of 16 slots has none free a third of the time. Change: such a request then queues in the zone of another region with the least backlog, if that zone is not overloaded itself (1.5 requests per slot).

--- a/internal/zone/acquire.go
+++ b/internal/zone/acquire.go
@@ -106,7 +106,7 @@
 		case <-time.After(pause):
 		}
 		for _, name := range zones {
-			if free, ok := c.zone.freeAt(c.zone.cfg.Now(), name, c.request.Service); ok && free <= 0 {
+			if f, ok := c.zone.figureOf(c.zone.cfg.Now(), name, c.request.Service); ok && f.Free <= 0 {
 				continue
 			}
 			if p := c.zone.try(ctx, name, c.request); p != nil {
@@ -114,5 +114,26 @@
 			}
 		}
 	}
-	return result{}
+	return c.queueRemote(ctx, zones)
+}
+
+// queueRemote queues in the zone of another region with the least backlog,
+// if there is one that is not overloaded itself. Free slots alone are a poor
+// guide: at 80% of slots busy a zone of 16 slots has none free a third of the
+// time, although a slot comes free within a fraction of a service time.
+func (c *contest) queueRemote(ctx context.Context, zones []string) result {
+	best, least := "", maxBacklog
+	for _, name := range zones {
+		f, ok := c.zone.figureOf(c.zone.cfg.Now(), name, c.request.Service)
+		if !ok || f.Slots == 0 {
+			continue
+		}
+		if backlog := float64(f.Outstanding+f.Queued) / float64(f.Slots); backlog < least {
+			best, least = name, backlog
+		}
+	}
+	if best == "" {
+		return result{}
+	}
+	return c.zone.wait(ctx, best, c.request)
 }
--- a/internal/zone/summary.go
+++ b/internal/zone/summary.go
@@ -119,16 +119,16 @@
 	return reply.Coordinator
 }
 
-// freeAt returns the last figure of free slots in a zone; ok is false if it is too old.
-func (z *Zone) freeAt(now time.Time, zone, service string) (free int, ok bool) {
+// figureOf returns the last figures of a service in a zone; ok is false if they are too old.
+func (z *Zone) figureOf(now time.Time, zone, service string) (f serviceFigure, ok bool) {
 	e, known := z.directory.entry(zone)
 	if !known || now.Sub(e.heard) >= staleSummary {
-		return 0, false
+		return serviceFigure{}, false
 	}
 	for _, f := range e.Services {
 		if f.Name == service {
-			return f.Free, true
+			return f, true
 		}
 	}
-	return 0, true
+	return serviceFigure{}, true
 }
--- a/internal/zone/timing.go
+++ b/internal/zone/timing.go
@@ -26,6 +26,9 @@
 	remoteAfter = 40 * time.Millisecond
 	// remoteInterval separates two rounds of questions to other regions.
 	remoteInterval = 250 * time.Millisecond
+	// maxBacklog is the number of requests per slot, running and queued, from
+	// which another region is taken as overloaded itself.
+	maxBacklog = 1.5
 	// silentAfter is how long a host may miss its heartbeats before look-ups leave it out.
 	silentAfter = 2 * time.Second
 	// staleSummary is the age from which a zone's figures are unknown.
