--- a/test/faults/relay_test.go
+++ b/test/faults/relay_test.go
@@ -32,6 +32,13 @@
 	return n
 }
 
+// name tells which host connections from an IP belong to.
+func (n *network) name(ip, host string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.byIP[ip] = host
+}
+
 // cut holds back bytes from one host to another until heal.
 func (n *network) cut(from, to string) {
 	n.mu.Lock()
