--- a/internal/node/claim_log.go
+++ b/internal/node/claim_log.go
@@ -4,6 +4,7 @@
 	"path/filepath"
 
 	"github.com/hornbeamstack/hornbeamstack/internal/claims"
+	"github.com/hornbeamstack/hornbeamstack/internal/settings"
 	"github.com/hornbeamstack/hornbeamstack/pkg/wal"
 )
 
@@ -41,3 +42,12 @@
 func (c *claimLog) SaveSnapshot(index uint64, data []byte) error {
 	return c.log.SaveSnapshot(index, data)
 }
+
+// storesOf names the claim stores, which are the control hosts.
+func storesOf(members []settings.Member) []claims.Store {
+	stores := make([]claims.Store, len(members))
+	for i, m := range members {
+		stores[i] = claims.Store{Name: m.Name, Peer: m.Peer}
+	}
+	return stores
+}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -84,7 +84,7 @@
 	c.run("distributor", func() error { c.distributor.Run(ctx); return nil })
 	c.run("claims", func() error { return c.store.Run(ctx) })
 	c.run("http", func() error { return c.http.Start(context.WithoutCancel(ctx)) })
-	c.run("status report", func() error { return c.report(ctx) })
+	c.run("status report", func() error { return every(ctx, reportInterval, c.report) })
 	return nil
 }
 
@@ -130,24 +130,16 @@
 }
 
 // report tells the leader each second which version this host holds.
-func (c *Control) report(ctx context.Context) error {
-	t := time.NewTicker(reportInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-t.C:
-		}
-		leader := c.group.Status().Leader
-		v := c.machine.Current()
-		if leader.Peer == "" || v == nil {
-			continue
-		}
-		_ = peer.Notify(c.client, leader.Peer, rollout.MethodStatus, rollout.Status{
-			Host: c.settings.Host, AvailabilityZone: c.settings.AvailabilityZone, Version: v.Header.Version, Root: v.Header.Root,
-		})
-	}
+func (c *Control) report() {
+	leader := c.group.Status().Leader
+	v := c.machine.Current()
+	if leader.Peer == "" || v == nil {
+		return
+	}
+	// A lost report is made up for by the next one.
+	_ = peer.Notify(c.client, leader.Peer, rollout.MethodStatus, rollout.Status{
+		Host: c.settings.Host, AvailabilityZone: c.settings.AvailabilityZone, Version: v.Header.Version, Root: v.Header.Root,
+	})
 }
 
 // Traffic returns the bytes of messages between own processes, both directions.
@@ -200,9 +192,5 @@
 }
 
 func (c *Control) stores() []claims.Store {
-	stores := make([]claims.Store, len(c.settings.Members))
-	for i, m := range c.settings.Members {
-		stores[i] = claims.Store{Name: m.Name, Peer: m.Peer}
-	}
-	return stores
+	return storesOf(c.settings.Members)
 }
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -188,11 +188,7 @@
 }
 
 func (e *Entry) claimStores() []claims.Store {
-	stores := make([]claims.Store, len(e.settings.ControlHosts))
-	for i, m := range e.settings.ControlHosts {
-		stores[i] = claims.Store{Name: m.Name, Peer: m.Peer}
-	}
-	return stores
+	return storesOf(e.settings.ControlHosts)
 }
 
 func (e *Entry) ready() error {
@@ -203,14 +199,5 @@
 }
 
 func (e *Entry) reportLoad(ctx context.Context) error {
-	t := time.NewTicker(loadInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-t.C:
-			e.zone.SetLoad(int(e.surface.InFlight()))
-		}
-	}
+	return every(ctx, loadInterval, func() { e.zone.SetLoad(int(e.surface.InFlight())) })
 }
--- a/internal/node/lookups.go
+++ b/internal/node/lookups.go
@@ -54,16 +54,7 @@
 
 // run rebuilds the picker from host states until ctx ends.
 func (l *lookups) run(ctx context.Context) error {
-	t := time.NewTicker(pickerInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-t.C:
-			l.rebuild()
-		}
-	}
+	return every(ctx, pickerInterval, l.rebuild)
 }
 
 func (l *lookups) rebuild() {
