Reuse the look-up table across drains; one address rule for stand-ins

Cause: reading the whole change again. Each bundle version rebuilt the table of caller blocks, 0.17 to 0.19 s at 640,000 blocks (docs/CAPACITY.md), also for a drain, which changes no block. The address of a stand-in in a zone was worked out in four places. cluster.Options had two fields that nobody set. Change: look-ups keep the table while bundle.Apply shares zones and blocks; standin.AddressIn serves the demo, measurements and failure tests; the unused fields are gone.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -8,7 +8,6 @@
 	"crypto/ed25519"
 	"crypto/rand"
 	"encoding/base64"
-	"errors"
 	"fmt"
 	"os"
 	"slices"
@@ -26,17 +25,15 @@
 // Options describe a deployment to start.
 type Options struct {
 	BundleFile string
-	Bundle     *bundle.Bundle              // in place of BundleFile
-	Folder     string                      // settings and data; a temporary one if empty
-	Targets    map[string]int              // stand-in targets by service, spread over the zones in turn; none if nil
-	Zones      []string                    // availability zones that get targets; all if empty
-	MeanWork   time.Duration               // mean of the exponential work time
-	Seed       uint64                      // of the work times
-	Edit       func(*bundle.Bundle)        // changes the first version
-	Entry      []node.EntryOption          // for every entry host
-	Target     func(*standin.Config)       // changes the settings of a target
-	Keep       bool                        // keep Folder
-	Only       func(host bundle.Host) bool // hosts to start; all if nil
+	Bundle     *bundle.Bundle        // in place of BundleFile
+	Folder     string                // settings and data, removed at the end; a temporary one if empty
+	Targets    map[string]int        // stand-in targets by service, spread over the zones in turn; none if nil
+	Zones      []string              // availability zones that get targets; all if empty
+	MeanWork   time.Duration         // mean of the exponential work time
+	Seed       uint64                // of the work times
+	Edit       func(*bundle.Bundle)  // changes the first version
+	Entry      []node.EntryOption    // for every entry host
+	Target     func(*standin.Config) // changes the settings of a target
 }
 
 // Cluster is a running deployment.
@@ -99,9 +96,6 @@
 		return err
 	}
 	for _, h := range c.Bundle.Hosts {
-		if c.options.Only != nil && !c.options.Only(h) {
-			continue
-		}
 		if err := c.startHost(h, c.files[h.Name]); err != nil {
 			return fmt.Errorf("start %s: %w", h.Name, err)
 		}
@@ -169,9 +163,7 @@
 		wg.Go(func() { _ = h.Stop(ctx) })
 	}
 	wg.Wait()
-	if !c.options.Keep {
-		_ = os.RemoveAll(c.options.Folder)
-	}
+	_ = os.RemoveAll(c.options.Folder)
 }
 
 // Rollout signs the next version and returns once every entry host has it in force.
@@ -197,5 +189,3 @@
 	next.Version++
 	return &next
 }
-
-var errNoAnswer = errors.New("no control host answered")
--- a/internal/cluster/submit.go
+++ b/internal/cluster/submit.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -17,6 +18,8 @@
 // retryPause is the wait between two rounds over the control hosts.
 const retryPause = 50 * time.Millisecond
 
+var errNoAnswer = errors.New("no control host answered")
+
 // Submit signs a version and returns once a control host has accepted it.
 func (c *Cluster) Submit(ctx context.Context, next *bundle.Bundle) error {
 	header := bundle.Sign(next.Version, c.root, next.Root(), operator, c.key)
--- a/internal/cluster/targets.go
+++ b/internal/cluster/targets.go
@@ -1,9 +1,7 @@
 package cluster
 
 import (
-	"fmt"
 	"slices"
-	"strings"
 
 	"github.com/hornbeamstack/hornbeamstack/internal/standin"
 	"github.com/hornbeamstack/hornbeamstack/pkg/bundle"
@@ -35,9 +33,8 @@
 }
 
 func (c *Cluster) startTarget(z bundle.AvailabilityZone, s bundle.Service, number int, seed uint64) error {
-	network, _, _ := strings.Cut(z.TargetPrefixes[0], "/")
 	config := standin.Config{
-		Address: fmt.Sprintf("%s%d:9000", network[:strings.LastIndexByte(network, '.')+1], 10+number),
+		Address: standin.AddressIn(z, 10+number),
 		Service: s.Name, Zone: z.Name, Slots: s.Slots, Connections: s.Connections,
 		MeanWork: c.options.MeanWork, Seed: seed,
 	}
--- a/internal/demo/processes.go
+++ b/internal/demo/processes.go
@@ -6,10 +6,10 @@
 	"fmt"
 	"path/filepath"
 	"strconv"
-	"strings"
 	"sync"
 
 	"github.com/hornbeamstack/hornbeamstack/internal/proc"
+	"github.com/hornbeamstack/hornbeamstack/internal/standin"
 	"github.com/hornbeamstack/hornbeamstack/pkg/bundle"
 )
 
@@ -42,9 +42,7 @@
 }
 
 func (d *demo) startTarget(z bundle.AvailabilityZone, s bundle.Service, seed, number int) error {
-	network, _, _ := strings.Cut(z.TargetPrefixes[0], "/")
-	address := network[:strings.LastIndexByte(network, '.')+1] + strconv.Itoa(10+number) + ":9000"
-	args := []string{"--address", address, "--service", s.Name, "--zone", z.Name,
+	args := []string{"--address", standin.AddressIn(z, 10+number), "--service", s.Name, "--zone", z.Name,
 		"--slots", strconv.Itoa(s.Slots), "--connections", strconv.Itoa(s.Connections),
 		"--mean-work", "5ms", "--seed", strconv.Itoa(seed*100 + number + 1)}
 	for _, h := range d.entryHosts(z.Name) {
--- a/internal/measure/drain.go
+++ b/internal/measure/drain.go
@@ -6,8 +6,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/netip"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/hornbeamstack/hornbeamstack/internal/cluster"
@@ -80,10 +80,14 @@
 	return ""
 }
 
-// inZone reports whether an address lies in the /24 of the zone's first target prefix.
+// inZone reports whether an address lies in the zone's first target prefix.
 func inZone(z bundle.AvailabilityZone, address string) bool {
-	network, _, _ := strings.Cut(z.TargetPrefixes[0], "/")
-	return strings.HasPrefix(address, network[:strings.LastIndexByte(network, '.')+1])
+	prefix, err := netip.ParsePrefix(z.TargetPrefixes[0])
+	if err != nil {
+		return false
+	}
+	a, err := netip.ParseAddrPort(address)
+	return err == nil && prefix.Contains(a.Addr())
 }
 
 // download fetches a long export and checks that it is whole.
--- a/internal/node/lookups.go
+++ b/internal/node/lookups.go
@@ -43,7 +43,7 @@
 
 // use takes a new bundle version; the old one stays in use if the blocks are unusable.
 func (l *lookups) use(a *rollout.Active) {
-	blocks, err := steer.NewBlocks(a.Bundle.Zones, a.Bundle.Blocks)
+	blocks, err := l.blocksOf(a.Bundle)
 	if err != nil {
 		l.log.Error("caller blocks refused", "version", a.Version, "err", err)
 		return
@@ -52,6 +52,20 @@
 	l.rebuild()
 }
 
+// blocksOf returns the table of the version in use if a delta left zones and
+// blocks as they were, as a drain does; building one takes 0.2 s at 640,000 blocks.
+func (l *lookups) blocksOf(next *bundle.Bundle) (*steer.Blocks, error) {
+	if v := l.version.Load(); v != nil && shared(v.bundle.Zones, next.Zones) && shared(v.bundle.Blocks, next.Blocks) {
+		return v.blocks, nil
+	}
+	return steer.NewBlocks(next.Zones, next.Blocks)
+}
+
+// shared reports whether two lists are one: bundle.Apply shares unchanged lists.
+func shared[T any](a, b []T) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
 // run rebuilds the picker from host states until ctx ends.
 func (l *lookups) run(ctx context.Context) error {
 	return every(ctx, pickerInterval, l.rebuild)
--- a/test/faults/deployment_test.go
+++ b/test/faults/deployment_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/hornbeamstack/hornbeamstack/internal/proc"
 	"github.com/hornbeamstack/hornbeamstack/internal/settings"
+	"github.com/hornbeamstack/hornbeamstack/internal/standin"
 	"github.com/hornbeamstack/hornbeamstack/pkg/bundle"
 )
 
@@ -162,9 +163,8 @@
 
 func (d *deployment) startTargets() {
 	for i, z := range d.bundle.Zones {
-		network, _, _ := strings.Cut(z.TargetPrefixes[0], "/")
 		for k, s := range d.bundle.Services {
-			address := fmt.Sprintf("%s%d:9000", network[:strings.LastIndexByte(network, '.')+1], 10+k)
+			address := standin.AddressIn(z, 10+k)
 			args := []string{"--address", address, "--service", s.Name, "--zone", z.Name, "--slots", fmt.Sprint(s.Slots),
 				"--connections", "100", "--mean-work", "10ms", "--seed", fmt.Sprint(10*i + k + 1)}
 			for _, name := range d.names(bundle.RoleEntry, z.Name) {
