--- /dev/null
+++ b/internal/core/directory.go
@@ -0,0 +1,35 @@
+package core
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/fleet"
+)
+
+// maxDirected bounds the entry hosts of one answer.
+const maxDirected = 64
+
+// EntriesFor returns the addresses of the entry hosts for callers of a place:
+// those of the availability zone, or else of the region, or else all.
+func (n *Node) EntriesFor(region, zone string) []string {
+	live := n.entries.live(n.now())
+	live = slices.DeleteFunc(live, func(e fleet.Entry) bool { return !e.Ready })
+	for _, fits := range []func(fleet.Entry) bool{
+		func(e fleet.Entry) bool { return e.Zone == zone },
+		func(e fleet.Entry) bool { return e.Region == region },
+		func(fleet.Entry) bool { return true },
+	} {
+		var fronts []string
+		for _, e := range live {
+			if fits(e) {
+				fronts = append(fronts, e.Front)
+			}
+		}
+		if len(fronts) > 0 {
+			slices.SortFunc(fronts, strings.Compare)
+			return fronts[:min(len(fronts), maxDirected)]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/core/entries.go
@@ -0,0 +1,82 @@
+package core
+
+import (
+	"sync"
+	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/fleet"
+)
+
+const (
+	// entryLive is the silence after which callers are no longer sent to an entry host.
+	entryLive = 1500 * time.Millisecond
+	// entryForget is the silence after which an entry host is forgotten.
+	entryForget = 30 * time.Second
+)
+
+type entryRecord struct {
+	entry fleet.Entry
+	heard time.Duration
+	// direct is when the entry host itself called, zero if it did not.
+	direct time.Duration
+}
+
+// entryTable holds the entry hosts that this host has heard of.
+type entryTable struct {
+	mu      sync.Mutex
+	records map[string]*entryRecord
+}
+
+func newEntryTable() *entryTable { return &entryTable{records: map[string]*entryRecord{}} }
+
+// note takes the description of an entry host, age old. It reports whether
+// callers have to be told.
+func (t *entryTable) note(now, age time.Duration, e fleet.Entry, direct bool) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	heard := now - age
+	r, ok := t.records[e.Name]
+	if !ok {
+		r = &entryRecord{}
+		t.records[e.Name] = r
+	}
+	if direct {
+		r.direct = now
+	}
+	if ok && (heard < r.heard || e.Started < r.entry.Started) {
+		return false
+	}
+	changed := !ok || r.entry.Ready != e.Ready || r.entry.Started != e.Started
+	r.entry, r.heard = e, heard
+	return changed
+}
+
+// recent returns the entry hosts that called this host within the time.
+func (t *entryTable) recent(now, within time.Duration) []fleet.Seen {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []fleet.Seen
+	for name, r := range t.records {
+		if now-r.heard > entryForget {
+			delete(t.records, name)
+			continue
+		}
+		if r.direct > 0 && now-r.direct <= within {
+			list = append(list, fleet.Seen{Entry: r.entry, Age: now - r.heard})
+		}
+	}
+	return list
+}
+
+// live returns the entry hosts that were heard of lately.
+func (t *entryTable) live(now time.Duration) []fleet.Entry {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []fleet.Entry
+	for _, r := range t.records {
+		if now-r.heard <= entryLive {
+			list = append(list, r.entry)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/core/group.go
@@ -0,0 +1,71 @@
+package core
+
+import (
+	"context"
+	"net"
+	"path/filepath"
+	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/replica"
+)
+
+const (
+	// removeAfter is how long a control host may stay silent before the group
+	// goes on without it. Restarts and short outages end sooner.
+	removeAfter = 10 * time.Second
+	// reopenInterval is the pause before a group that failed is opened again.
+	reopenInterval = time.Second
+	groupCheck     = 200 * time.Millisecond
+)
+
+// keepGroup keeps this host's part in the agreement running. A disk that
+// refuses writes ends it; it is opened again from what the disk holds.
+func (n *Node) keepGroup(ctx context.Context) {
+	for ctx.Err() == nil {
+		g, err := replica.Start(n.groupConfig())
+		if err != nil {
+			n.config.Log.Error("agreement cannot start", "err", err)
+			sleep(ctx, reopenInterval)
+			continue
+		}
+		n.setGroup(g)
+		for ctx.Err() == nil && g.Status().Err == nil {
+			sleep(ctx, groupCheck)
+		}
+		n.setGroup(nil)
+		g.Stop()
+		sleep(ctx, reopenInterval)
+	}
+}
+
+func (n *Node) setGroup(g *replica.Group) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.group = g
+}
+
+func (n *Node) groupConfig() replica.Config {
+	var members []replica.Member
+	listed := false
+	for _, seed := range n.config.Seeds {
+		host, _, err := net.SplitHostPort(seed)
+		if err != nil {
+			n.config.Log.Warn("seed is no address", "seed", seed, "err", err)
+			continue
+		}
+		members = append(members, replica.Member{Name: host, Peer: seed})
+		listed = listed || host == n.config.Name
+	}
+	return replica.Config{
+		Host: n.config.Name, Peer: n.config.Peer, Folder: filepath.Join(n.config.Folder, "agree"), Members: members,
+		Open: true, SilentAfter: removeAfter, NoFounding: !n.config.Found || !listed,
+		Server: n.config.Server, Client: n.config.Client, Machine: n.machine, Log: n.config.Log,
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/internal/core/node.go
@@ -0,0 +1,111 @@
+package core
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/desired"
+	"github.com/hornbeamstack/hornbeamstack/internal/fleet"
+	"github.com/hornbeamstack/hornbeamstack/internal/peer"
+	"github.com/hornbeamstack/hornbeamstack/internal/replica"
+	"github.com/hornbeamstack/hornbeamstack/pkg/roster"
+)
+
+const (
+	// freshWithin is the silence of the leader after which a control host
+	// no longer speaks for the deployment.
+	freshWithin = time.Second
+	// forgetTargets is how long a target that fell silent stays in the roster.
+	forgetTargets = 30 * time.Second
+	sweepInterval = 250 * time.Millisecond
+	// overdueBeats is the number of heartbeats after which a target counts as silent.
+	overdueBeats = 3.5
+)
+
+// Node is a running control host.
+type Node struct {
+	config  Config
+	self    fleet.Control
+	epoch   int64 // start of this process
+	start   time.Time
+	machine *desired.Machine
+	targets *roster.Roster
+	entries *entryTable
+	others  *controlTable
+	direct  *directLog
+	changed *notifier
+
+	mu      sync.Mutex
+	group   *replica.Group // nil while the disk refuses
+	settled time.Time      // until then a founded group may lack members
+}
+
+// Start starts all parts of the control host. They end with ctx.
+func Start(ctx context.Context, c Config) *Node {
+	n := &Node{
+		config: c, self: fleet.Control{Peer: c.Peer, Zone: c.Zone, Region: c.Region},
+		epoch: time.Now().UnixNano(), start: time.Now(),
+		targets: roster.New(forgetTargets), entries: newEntryTable(), direct: newDirectLog(), changed: newNotifier(),
+	}
+	n.others = newControlTable(n.self, c.Seeds)
+	n.machine = desired.New(n.applied)
+	peer.Register(c.Server, fleet.MethodPull, n.pull)
+	peer.Register(c.Server, fleet.MethodExchange, n.receive)
+	peer.Register(c.Server, fleet.MethodSubmit, n.submitFor)
+	go n.keepGroup(ctx)
+	go n.exchangeLoop(ctx)
+	go n.sweepLoop(ctx)
+	return n
+}
+
+func (n *Node) now() time.Duration { return time.Since(n.start) }
+
+// applied passes a committed command on to the parts that act on it.
+func (n *Node) applied(c desired.Command) {
+	switch {
+	case c.Departure != nil:
+		n.targets.Leave(c.Departure.Name, c.Departure.Life)
+		n.config.Log.Info("target leaves", "target", c.Departure.Name, "life", c.Departure.Life)
+	case c.Document != nil:
+		n.config.Log.Info("policy in force", "version", c.Document.Version, "bytes", len(c.Document.Body))
+	case c.Evacuate != "":
+		n.config.Log.Info("availability zone evacuated", "zone", c.Evacuate)
+	case c.Readmit != "":
+		n.config.Log.Info("availability zone readmitted", "zone", c.Readmit)
+	}
+	n.changed.notify()
+}
+
+func (n *Node) sweepLoop(ctx context.Context) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	overdue := time.Duration(float64(n.config.Heartbeat) * overdueBeats)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		before := n.targets.Revision()
+		n.targets.Sweep(n.now(), overdue)
+		for _, name := range n.targets.Forget(n.now()) {
+			n.config.Log.Info("target forgotten", "target", name, "silent", forgetTargets)
+		}
+		if n.targets.Revision() != before {
+			n.changed.notify()
+		}
+	}
+}
+
+// fresh reports whether this host speaks for the deployment.
+func (n *Node) fresh() bool {
+	g := n.currentGroup()
+	return g != nil && g.Fresh(freshWithin)
+}
+
+func (n *Node) currentGroup() *replica.Group {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.group
+}
--- /dev/null
+++ b/internal/core/pull.go
@@ -0,0 +1,83 @@
+package core
+
+import (
+	"context"
+	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/fleet"
+	"github.com/hornbeamstack/hornbeamstack/pkg/roster"
+)
+
+// demandPeriod is the time between two numbers of the demand.
+const demandPeriod = 2 * time.Second
+
+// pull answers an entry host as soon as there is something that it lacks.
+func (n *Node) pull(ctx context.Context, _ string, req fleet.PullRequest) (fleet.PullReply, error) {
+	n.entries.note(n.now(), 0, req.Entry, true)
+	deadline := time.NewTimer(req.Wait)
+	defer deadline.Stop()
+	fresh := n.fresh()
+	for {
+		changed := n.changed.wait()
+		reply, news := n.replyTo(&req)
+		if news || req.Wait <= 0 || fresh != reply.Fresh {
+			return reply, nil
+		}
+		select {
+		case <-ctx.Done():
+			return reply, ctx.Err()
+		case <-deadline.C:
+			reply, _ = n.replyTo(&req)
+			return reply, nil
+		case <-changed:
+		}
+	}
+}
+
+// replyTo returns what the entry host lacks, and whether that is worth an answer at once.
+func (n *Node) replyTo(req *fleet.PullRequest) (reply fleet.PullReply, news bool) {
+	now := n.now()
+	state, _ := n.machine.State()
+	reply = fleet.PullReply{Fresh: n.fresh(), Index: state.OrdersIndex, Epoch: n.epoch}
+	if state.Document.Version > req.Version {
+		reply.Document = &state.Document
+		news = true
+	}
+	if state.OrdersIndex > req.Orders {
+		orders := state.OrdersSince(req.Orders)
+		reply.Orders = &orders
+		news = true
+	}
+	since := req.Revision
+	if req.Epoch != n.epoch {
+		since = 0
+	}
+	var changed []roster.Target
+	changed, reply.Revision = n.targets.Since(since)
+	for i := range changed {
+		reply.Targets = append(reply.Targets, roster.ReportOf(&changed[i], now))
+	}
+	controls := n.others.known(now)
+	if reply.Digest = digest(controls); reply.Digest != req.Controls {
+		reply.Controls = controls
+	}
+	live := n.entries.live(now)
+	reply.Entries = len(live)
+	if reply.DemandNumber = int64(now / demandPeriod); reply.DemandNumber != req.Demand {
+		reply.Demand = demandOf(live)
+	}
+	return reply, news || len(reply.Targets) > 0
+}
+
+func demandOf(entries []fleet.Entry) fleet.Demand {
+	demand := fleet.Demand{}
+	for _, e := range entries {
+		for service, rate := range e.Rates {
+			if demand[service] == nil {
+				demand[service] = map[string]float64{}
+			}
+			demand[service][e.Region] += rate
+		}
+	}
+	return demand
+}
--- /dev/null
+++ b/internal/desired/machine.go
@@ -0,0 +1,183 @@
+package desired
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// maxDepartures bounds the remembered departures. A target exits within
+// minutes of its departure, and its name is hardly used again.
+const maxDepartures = 4096
+
+// Orders are the parts of the state that are small.
+type Orders struct {
+	Evacuated  []string    `cbor:"1,keyasint,omitempty"` // availability zones, sorted
+	Departures []Departure `cbor:"2,keyasint,omitempty"` // newest last
+}
+
+// State is everything that the operators and leaving targets have asked for.
+type State struct {
+	Index       uint64   `cbor:"1,keyasint"` // last command that changed the state
+	Document    Document `cbor:"2,keyasint"` // version 0 if there is none
+	Orders      Orders   `cbor:"3,keyasint"`
+	OrdersIndex uint64   `cbor:"4,keyasint"` // last command that changed the orders
+}
+
+// OrdersSince returns the orders for a host that holds those of an index:
+// all evacuations, and the departures that came later.
+func (s *State) OrdersSince(index uint64) Orders {
+	o := Orders{Evacuated: s.Orders.Evacuated}
+	for _, d := range s.Orders.Departures {
+		if d.Index > index {
+			o.Departures = append(o.Departures, d)
+		}
+	}
+	return o
+}
+
+// Machine is the state machine of the agreement group. Apply and Restore are
+// called by one goroutine; all other methods are safe for concurrent use.
+type Machine struct {
+	mu      sync.RWMutex
+	state   State
+	applied uint64        // last entry applied; a restarted group repeats earlier ones
+	changed chan struct{} // closed with the next change
+	notify  func(Command)
+}
+
+// New returns an empty machine. notify, if set, is called after each command
+// that changed the state; it must not block.
+func New(notify func(Command)) *Machine {
+	return &Machine{changed: make(chan struct{}), notify: notify}
+}
+
+// Apply implements the state machine of the agreement group.
+func (m *Machine) Apply(index uint64, data []byte) []byte {
+	var c Command
+	if err := cbor.Unmarshal(data, &c); err != nil {
+		// All hosts see the same bytes, so all skip the entry alike.
+		return []byte(fmt.Sprintf("command %d cannot be decoded: %v", index, err))
+	}
+	m.mu.Lock()
+	if index <= m.applied {
+		m.mu.Unlock()
+		return nil
+	}
+	m.applied = index
+	changed := m.state.apply(index, &c)
+	if changed {
+		m.state.Index = index
+		if c.Document == nil {
+			m.state.OrdersIndex = index
+		}
+		m.announce()
+	}
+	m.mu.Unlock()
+	if changed && m.notify != nil {
+		m.notify(c)
+	}
+	return nil
+}
+
+func (m *Machine) announce() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+func (s *State) apply(index uint64, c *Command) bool {
+	switch {
+	case c.Document != nil:
+		if c.Document.Version <= s.Document.Version {
+			return false
+		}
+		s.Document = *c.Document
+	case c.Evacuate != "":
+		at, found := slices.BinarySearch(s.Orders.Evacuated, c.Evacuate)
+		if found {
+			return false
+		}
+		s.Orders.Evacuated = slices.Insert(slices.Clone(s.Orders.Evacuated), at, c.Evacuate)
+	case c.Readmit != "":
+		at, found := slices.BinarySearch(s.Orders.Evacuated, c.Readmit)
+		if !found {
+			return false
+		}
+		s.Orders.Evacuated = slices.Delete(slices.Clone(s.Orders.Evacuated), at, at+1)
+	case c.Departure != nil:
+		d := *c.Departure
+		d.Index = index
+		return s.depart(d)
+	default:
+		return false
+	}
+	return true
+}
+
+func (s *State) depart(d Departure) bool {
+	if s.Left(d) {
+		return false
+	}
+	list := slices.DeleteFunc(slices.Clone(s.Orders.Departures), func(o Departure) bool { return o.Name == d.Name })
+	list = append(list, d)
+	if len(list) > maxDepartures {
+		list = list[len(list)-maxDepartures:]
+	}
+	s.Orders.Departures = list
+	return true
+}
+
+// Left reports whether a departure is part of the state already.
+func (s *State) Left(d Departure) bool {
+	i := slices.IndexFunc(s.Orders.Departures, func(o Departure) bool { return o.Name == d.Name })
+	return i >= 0 && s.Orders.Departures[i].Life >= d.Life
+}
+
+// IsEvacuated reports whether an availability zone is to get no work.
+func (s *State) IsEvacuated(zone string) bool {
+	_, found := slices.BinarySearch(s.Orders.Evacuated, zone)
+	return found
+}
+
+// State returns the present state, whose slices must not be changed, and a
+// channel that is closed with the next change.
+func (m *Machine) State() (State, <-chan struct{}) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.state, m.changed
+}
+
+// Snapshot implements the state machine of the agreement group.
+func (m *Machine) Snapshot() []byte {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	data, err := cbor.Marshal(m.state)
+	if err != nil {
+		panic(fmt.Sprintf("desired state cannot be encoded: %v", err)) // its types hold nothing that fails
+	}
+	return data
+}
+
+// Restore implements the state machine of the agreement group.
+func (m *Machine) Restore(data []byte) error {
+	var s State
+	if err := cbor.Unmarshal(data, &s); err != nil {
+		return fmt.Errorf("decode snapshot: %w", err)
+	}
+	m.mu.Lock()
+	if s.Index < m.state.Index {
+		m.mu.Unlock()
+		return nil // a restarted group begins with an older snapshot than was applied
+	}
+	m.state, m.applied = s, max(m.applied, s.Index)
+	m.announce()
+	m.mu.Unlock()
+	if m.notify != nil {
+		for _, d := range s.Orders.Departures {
+			m.notify(Command{Departure: &d})
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/exchange.go
@@ -0,0 +1,29 @@
+package fleet
+
+import "github.com/hornbeamstack/hornbeamstack/pkg/roster"
+
+// Methods between control hosts.
+const (
+	MethodExchange = "fleet.exchange"
+	MethodSubmit   = "fleet.submit"
+)
+
+// Exchange is what a control host heard itself since it last told the receiver.
+type Exchange struct {
+	From    Control         `cbor:"1,keyasint"`
+	Targets []roster.Report `cbor:"2,keyasint,omitempty"`
+	Entries []Seen          `cbor:"3,keyasint,omitempty"`
+}
+
+// ExchangeReply names the control hosts that the receiver knows.
+type ExchangeReply struct {
+	Controls []Control `cbor:"1,keyasint,omitempty"`
+}
+
+// Submission is an encoded command for the leader.
+type Submission struct {
+	Command []byte `cbor:"1,keyasint"`
+}
+
+// Accepted confirms that a command is part of the history.
+type Accepted struct{}
--- /dev/null
+++ b/internal/fleet/host.go
@@ -0,0 +1,31 @@
+package fleet
+
+import "time"
+
+// Entry is an entry host as it describes itself.
+type Entry struct {
+	Name    string `cbor:"1,keyasint"`
+	Front   string `cbor:"2,keyasint"` // address for callers
+	Zone    string `cbor:"3,keyasint"`
+	Region  string `cbor:"4,keyasint"`
+	Ready   bool   `cbor:"5,keyasint"` // false while it starts and once it stops
+	Started int64  `cbor:"6,keyasint"` // tells its starts apart
+	// Rates are the requests a second that callers sent it, by service.
+	Rates map[string]float64 `cbor:"7,keyasint,omitempty"`
+}
+
+// Seen is an entry host with the time since a control host heard of it.
+type Seen struct {
+	Entry
+	Age time.Duration `cbor:"20,keyasint"`
+}
+
+// Control is a control host.
+type Control struct {
+	Peer   string `cbor:"1,keyasint"`
+	Zone   string `cbor:"2,keyasint"`
+	Region string `cbor:"3,keyasint"`
+}
+
+// Demand is the requests a second of a service from callers of each region.
+type Demand map[string]map[string]float64
--- /dev/null
+++ b/internal/fleet/pull.go
@@ -0,0 +1,45 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/desired"
+	"github.com/hornbeamstack/hornbeamstack/pkg/policy"
+	"github.com/hornbeamstack/hornbeamstack/pkg/roster"
+)
+
+// MethodPull is the call of entry hosts to a control host. It is answered at
+// the next change, or after Wait.
+const MethodPull = "fleet.pull"
+
+// PullRequest says what the entry host holds.
+type PullRequest struct {
+	Entry    Entry          `cbor:"1,keyasint"`
+	Version  policy.Version `cbor:"2,keyasint"`
+	Orders   uint64         `cbor:"3,keyasint"` // index of the orders held
+	Epoch    int64          `cbor:"4,keyasint"` // start of the control host whose roster is held
+	Revision uint64         `cbor:"5,keyasint"` // of that roster
+	Controls uint64         `cbor:"6,keyasint"` // digest of the control hosts held
+	Demand   int64          `cbor:"7,keyasint"` // number of the demand held
+	Wait     time.Duration  `cbor:"8,keyasint"`
+}
+
+// PullReply carries what the entry host lacks.
+type PullReply struct {
+	// Fresh says that the control host is in contact with a majority.
+	Fresh    bool              `cbor:"1,keyasint"`
+	Document *desired.Document `cbor:"2,keyasint,omitempty"`
+	Orders   *desired.Orders   `cbor:"3,keyasint,omitempty"`
+	Index    uint64            `cbor:"4,keyasint"` // of Orders
+
+	Epoch    int64           `cbor:"5,keyasint"`
+	Revision uint64          `cbor:"6,keyasint"`
+	Targets  []roster.Report `cbor:"7,keyasint,omitempty"`
+
+	Controls []Control `cbor:"8,keyasint,omitempty"`
+	Digest   uint64    `cbor:"9,keyasint"` // of all control hosts
+
+	Demand       Demand `cbor:"10,keyasint,omitempty"`
+	DemandNumber int64  `cbor:"11,keyasint"`
+	Entries      int    `cbor:"12,keyasint"` // live entry hosts
+}
--- /dev/null
+++ b/internal/gateway/answer.go
@@ -0,0 +1,203 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// writeAnswers sends the answers in the order of the requests.
+func (c *caller) writeAnswers() {
+	failed := false
+	for x := range c.queue {
+		select {
+		case r := <-x.answer:
+			if !failed && !c.writeAnswer(x, r) {
+				failed = true
+				c.end()
+			}
+			if r.finish != nil {
+				r.finish(!failed)
+			}
+		case <-x.ctx.Done():
+			// The caller has left. The handler ends by itself.
+			failed = true
+			c.end()
+			go discard(x)
+		}
+		c.mu.Lock()
+		c.pending--
+		c.mu.Unlock()
+		close(x.done)
+		x.cancel()
+	}
+}
+
+// discard releases what the answer of an abandoned request holds.
+func discard(x *exchange) {
+	if x.refused {
+		return
+	}
+	if r := <-x.answer; r.finish != nil {
+		r.finish(false)
+	}
+}
+
+// end closes the connection for further requests and aborts the reader.
+func (c *caller) end() {
+	c.mu.Lock()
+	c.closing = true
+	c.mu.Unlock()
+	c.cancel()
+	_ = c.conn.Close()
+}
+
+// writeAnswer sends one answer. It reports whether the connection may go on.
+func (c *caller) writeAnswer(x *exchange, r *reply) bool {
+	last := c.decideClose(x, r)
+	_ = c.conn.SetWriteDeadline(time.Now().Add(writeLimit))
+	err := c.write(x, r, last)
+	if err == nil {
+		err = c.writer.Flush()
+	}
+	if err != nil {
+		return false
+	}
+	if last {
+		c.linger()
+	}
+	return !last
+}
+
+// decideClose reports whether this is the last answer of the connection. No
+// request that was accepted comes after it.
+func (c *caller) decideClose(x *exchange, r *reply) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	asked := x.request != nil && x.request.Close
+	stopping := c.gateway.stopping() && c.pending == 1
+	if r.close || asked || stopping {
+		c.closing = true
+		return true
+	}
+	return false
+}
+
+// linger closes the sending side and lets the reader take what the caller
+// still sends, since closing with unread bytes would reset the connection.
+func (c *caller) linger() {
+	if tcp, ok := c.conn.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite()
+	}
+	_ = c.conn.SetReadDeadline(time.Now().Add(lingerTime))
+	select {
+	case <-c.ctx.Done():
+	case <-time.After(lingerTime):
+	}
+}
+
+func (c *caller) write(x *exchange, r *reply, last bool) error {
+	chunked := r.length < 0
+	head := x.request != nil && x.request.Method == http.MethodHead
+	bodyless := head || r.status == http.StatusNoContent || r.status == http.StatusNotModified
+	if _, err := fmt.Fprintf(c.writer, "HTTP/1.1 %03d %s\r\n", r.status, http.StatusText(r.status)); err != nil {
+		return err
+	}
+	switch {
+	case chunked && !bodyless:
+		r.header.Set("Transfer-Encoding", "chunked")
+	case !chunked && (r.status != http.StatusNoContent):
+		r.header.Set("Content-Length", strconv.FormatInt(r.length, 10))
+	}
+	if last {
+		r.header.Set("Connection", "close")
+	}
+	if err := r.header.Write(c.writer); err != nil {
+		return err
+	}
+	if _, err := c.writer.WriteString("\r\n"); err != nil {
+		return err
+	}
+	if bodyless {
+		return nil
+	}
+	if chunked {
+		return c.writeChunks(r)
+	}
+	return c.writePlain(r)
+}
+
+func (c *caller) writePlain(r *reply) error {
+	if _, err := c.writer.Write(r.body); err != nil {
+		return err
+	}
+	left := r.length - int64(len(r.body))
+	if r.rest == nil || left <= 0 {
+		return nil
+	}
+	return c.copyRest(r.rest, func(p []byte) error {
+		left -= int64(len(p))
+		if left < 0 {
+			return fmt.Errorf("the target sent %d bytes too many", -left)
+		}
+		_, err := c.writer.Write(p)
+		return err
+	}, func() error {
+		if left != 0 {
+			return io.ErrUnexpectedEOF
+		}
+		return nil
+	})
+}
+
+func (c *caller) writeChunks(r *reply) error {
+	chunk := func(p []byte) error {
+		if len(p) == 0 {
+			return nil
+		}
+		if _, err := fmt.Fprintf(c.writer, "%x\r\n", len(p)); err != nil {
+			return err
+		}
+		if _, err := c.writer.Write(p); err != nil {
+			return err
+		}
+		_, err := c.writer.WriteString("\r\n")
+		return err
+	}
+	if err := chunk(r.body); err != nil {
+		return err
+	}
+	if r.rest != nil {
+		if err := c.copyRest(r.rest, chunk, func() error { return nil }); err != nil {
+			return err
+		}
+	}
+	_, err := c.writer.WriteString("0\r\n\r\n")
+	return err
+}
+
+// copyRest passes on what comes from a target, as it comes.
+func (c *caller) copyRest(rest io.Reader, take func([]byte) error, atEnd func() error) error {
+	buffer := make([]byte, callerBuffer)
+	for {
+		n, err := rest.Read(buffer)
+		if n > 0 {
+			_ = c.conn.SetWriteDeadline(time.Now().Add(writeLimit))
+			if err := take(buffer[:n]); err != nil {
+				return err
+			}
+			if err := c.writer.Flush(); err != nil {
+				return err
+			}
+		}
+		if err == io.EOF {
+			return atEnd()
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/body.go
@@ -0,0 +1,80 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+)
+
+// bufferedBody bounds the body of a request or answer that is held in memory
+// as a whole; larger ones are passed on as they come.
+const bufferedBody = 64 << 10
+
+var errBodyTooLarge = errors.New("the request body is over the limit")
+
+// requestBody is the body of a caller's request.
+type requestBody struct {
+	prefix []byte
+	rest   io.Reader // what follows prefix, nil if prefix is everything
+	length int64     // of the whole body, -1 if unknown
+	once   sync.Once
+	done   chan struct{} // closed when nothing more is read from the caller for this body
+}
+
+// readBody reads the body of a request up to bufferedBody.
+func readBody(r *http.Request, limit int64) (*requestBody, error) {
+	b := &requestBody{length: r.ContentLength, done: make(chan struct{})}
+	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
+		b.length = 0
+		b.end()
+		return b, nil
+	}
+	if limit > 0 && r.ContentLength > limit {
+		b.end()
+		return b, errBodyTooLarge
+	}
+	prefix := make([]byte, 0, 1024)
+	for len(prefix) < bufferedBody {
+		if len(prefix) == cap(prefix) {
+			prefix = append(prefix, 0)[:len(prefix)]
+		}
+		n, err := r.Body.Read(prefix[len(prefix):min(cap(prefix), bufferedBody)])
+		prefix = prefix[:len(prefix)+n]
+		if errors.Is(err, io.EOF) {
+			b.prefix, b.length = prefix, int64(len(prefix))
+			b.end()
+			return b, nil
+		}
+		if err != nil {
+			b.end()
+			return b, err
+		}
+	}
+	b.prefix = prefix
+	b.rest = &boundedReader{reader: r.Body, left: limit - int64(len(prefix)), bounded: limit > 0}
+	return b, nil
+}
+
+// repeatable reports whether the body can be sent again.
+func (b *requestBody) repeatable() bool { return b.rest == nil }
+
+// end says that nothing more is read from the caller for this body.
+func (b *requestBody) end() { b.once.Do(func() { close(b.done) }) }
+
+// boundedReader fails once more bytes come than are allowed.
+type boundedReader struct {
+	reader  io.Reader
+	left    int64
+	bounded bool
+}
+
+func (r *boundedReader) Read(p []byte) (int, error) {
+	n, err := r.reader.Read(p)
+	if r.bounded {
+		if r.left -= int64(n); r.left < 0 {
+			return 0, errBodyTooLarge
+		}
+	}
+	return n, err
+}
--- /dev/null
+++ b/internal/gateway/delivery.go
@@ -0,0 +1,288 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/pkg/evidence"
+	"github.com/hornbeamstack/hornbeamstack/pkg/policy"
+	"github.com/hornbeamstack/hornbeamstack/pkg/roster"
+)
+
+// outcome tells how an attempt ended.
+type outcome uint8
+
+const (
+	answered    outcome = iota // the target's answer is passed on
+	unreached                  // no byte of the request left
+	notRun                     // the target said that it has not run the request
+	targetError                // the target answered that it failed
+	broken                     // the connection or the answer broke
+	timedOut
+	callerLeft
+)
+
+func (o outcome) String() string {
+	return [...]string{"answered", "unreached", "not run", "target error", "broken", "timed out", "caller left"}[o]
+}
+
+// delivery takes one request to a target, or to several in turn.
+type delivery struct {
+	gateway  *Gateway
+	exchange *exchange
+	policy   *policy.Policy
+	service  string
+	deadline time.Duration
+	tried    map[string]bool
+	runs     int // attempts that may have run
+	unrun    int // attempts that did not run
+}
+
+// attempt is the result of one sending.
+type attempt struct {
+	outcome outcome
+	reply   *reply
+	err     error
+}
+
+// run sends the request until it is answered or must not be sent again.
+func (d *delivery) run() *reply {
+	g, x := d.gateway, d.exchange
+	var last attempt
+	for first := true; ; first = false {
+		if !first && !d.mayRepeat(last) {
+			return d.giveUp(last)
+		}
+		t, e, ok := g.choose(d)
+		if !ok {
+			if first {
+				return g.refuse(x, "no target of the service is known")
+			}
+			return d.giveUp(last)
+		}
+		d.tried[t.Name] = true
+		if last.reply != nil && last.reply.finish != nil {
+			last.reply.finish(false)
+		}
+		last = d.attempt(&t, e)
+		if last.outcome == answered {
+			return last.reply
+		}
+		g.log.Info("attempt failed", "id", x.call.ID, "target", t.Name, "address", t.Address, "outcome", last.outcome, "err", last.err,
+			"after", g.now()-x.received)
+		switch last.outcome {
+		case unreached, notRun:
+			d.unrun++
+		default:
+			d.runs++
+		}
+	}
+}
+
+// mayRepeat decides whether the request may be sent once more.
+func (d *delivery) mayRepeat(last attempt) bool {
+	g, x := d.gateway, d.exchange
+	switch last.outcome {
+	case timedOut, callerLeft:
+		return false
+	case unreached, notRun:
+		if d.unrun > maxUnrun {
+			return false
+		}
+	default:
+		if !x.route.Kind.Idempotent() || d.runs >= x.route.MaxAttempts {
+			return false
+		}
+	}
+	if !x.body.repeatable() || d.deadline-g.now() < leastLeft {
+		return false
+	}
+	return last.outcome == unreached || g.budgets.take(d.service, g.now(), g.view.entryCount())
+}
+
+// giveUp returns the final answer after attempts that failed.
+func (d *delivery) giveUp(last attempt) *reply {
+	g, x := d.gateway, d.exchange
+	switch {
+	case last.reply != nil:
+		return last.reply
+	case d.runs == 0 && last.outcome != callerLeft:
+		return g.refuse(x, "no target could take the request: "+last.outcome.String())
+	case last.outcome == timedOut:
+		return g.fail(x, http.StatusGatewayTimeout, "the target did not answer in time")
+	}
+	return g.fail(x, http.StatusBadGateway, "the target's answer was lost: "+last.outcome.String())
+}
+
+// attempt sends the request to a target.
+func (d *delivery) attempt(t *roster.Target, e *evidence.Target) attempt {
+	g, x := d.gateway, d.exchange
+	idempotent := x.route.Kind.Idempotent()
+	u := g.pool.get(t.Address, idempotent)
+	if u == nil {
+		var err error
+		limit := min(targetDialTimeout, d.deadline-g.now())
+		if limit <= 0 {
+			return attempt{outcome: timedOut}
+		}
+		if u, err = g.pool.dial(t.Address, limit); err != nil {
+			e.Unreachable(g.now())
+			return attempt{outcome: unreached, err: err}
+		}
+	}
+	e.Began()
+	a := d.send(u, t, e)
+	if a.outcome != answered {
+		e.Ended()
+	}
+	return a
+}
+
+// send writes the request to a connection and waits for the response.
+func (d *delivery) send(u *upstream, t *roster.Target, e *evidence.Target) attempt {
+	g, x := d.gateway, d.exchange
+	left := d.deadline - g.now()
+	if left <= 0 {
+		u.abort()
+		return attempt{outcome: timedOut}
+	}
+	request := d.forwarded(t, left)
+	responses, ok := u.expect(request, x.call.ID)
+	if !ok {
+		return attempt{outcome: unreached, err: errConnectionEnded}
+	}
+	sent := make(chan error, 1)
+	if x.body.rest == nil {
+		sent <- writeRequest(u.conn, request, x.body)
+	} else {
+		go func() { sent <- writeRequest(u.conn, request, x.body); x.body.end() }()
+	}
+	timer := time.NewTimer(left)
+	defer timer.Stop()
+	select {
+	case r := <-responses:
+		complete := false
+		select {
+		case err := <-sent:
+			complete = err == nil
+		default:
+		}
+		return d.received(u, t, e, r, complete)
+	case <-timer.C:
+		u.abort()
+		return attempt{outcome: timedOut}
+	case <-x.ctx.Done():
+		u.abort()
+		return attempt{outcome: callerLeft}
+	}
+}
+
+// received judges a response. complete says that the whole request was sent.
+func (d *delivery) received(u *upstream, t *roster.Target, e *evidence.Target, r result, complete bool) attempt {
+	now := d.gateway.now()
+	if r.err != nil {
+		u.abort()
+		e.Failed(now)
+		if errors.Is(r.err, errConnectionEnded) && u.fresh {
+			e.Unreachable(now)
+		}
+		return attempt{outcome: broken, err: r.err}
+	}
+	if r.answer.Load != nil {
+		e.Loaded(now, *r.answer.Load)
+	}
+	u.keepAlive = r.answer.KeepAlive
+	a := d.readAnswer(u, t, e, r, complete)
+	if r.answer.NotExecuted {
+		if a.reply != nil && a.reply.finish != nil {
+			a.reply.finish(true)
+		}
+		return attempt{outcome: notRun}
+	}
+	if a.outcome != answered {
+		e.Failed(now)
+		return a
+	}
+	if r.response.StatusCode >= http.StatusInternalServerError {
+		e.Failed(now)
+		if d.exchange.route.Kind.Idempotent() {
+			a.outcome = targetError
+		}
+		return a
+	}
+	e.Worked(now)
+	return a
+}
+
+// readAnswer reads the response as far as it is held in memory.
+func (d *delivery) readAnswer(u *upstream, t *roster.Target, e *evidence.Target, r result, complete bool) attempt {
+	response := r.response
+	reply := &reply{status: response.StatusCode, header: passedOn(response.Header), length: response.ContentLength}
+	stop := d.watchCaller(u)
+	head := make([]byte, 0, min(max(response.ContentLength, 512), bufferedBody))
+	var err error
+	for len(head) < bufferedBody && err == nil {
+		if len(head) == cap(head) {
+			head = append(head, 0)[:len(head)]
+		}
+		var n int
+		n, err = response.Body.Read(head[len(head):min(cap(head), bufferedBody)])
+		head = head[:len(head)+n]
+	}
+	if err != nil && err != io.EOF {
+		stop()
+		u.abort()
+		if d.exchange.ctx.Err() != nil {
+			return attempt{outcome: callerLeft}
+		}
+		if d.gateway.now() >= d.deadline {
+			return attempt{outcome: timedOut}
+		}
+		return attempt{outcome: broken, err: err}
+	}
+	reply.body = head
+	reusable := complete && !response.Close
+	if err == io.EOF {
+		stop()
+		if response.ContentLength < 0 || d.exchange.request.Method != http.MethodHead {
+			reply.length = int64(len(head))
+		}
+		d.release(u, t, e, reusable)
+		return attempt{outcome: answered, reply: reply}
+	}
+	reply.rest = response.Body
+	reply.finish = func(sent bool) {
+		stop()
+		d.release(u, t, e, sent && reusable)
+	}
+	return attempt{outcome: answered, reply: reply}
+}
+
+// watchCaller ends the connection if the caller leaves or the time is over.
+func (d *delivery) watchCaller(u *upstream) (stop func()) {
+	done := make(chan struct{})
+	timer := time.NewTimer(d.deadline - d.gateway.now())
+	go func() {
+		defer timer.Stop()
+		select {
+		case <-done:
+		case <-d.exchange.ctx.Done():
+			u.close()
+		case <-timer.C:
+			u.close()
+		}
+	}()
+	return func() { close(done) }
+}
+
+// release ends the use of a connection.
+func (d *delivery) release(u *upstream, t *roster.Target, e *evidence.Target, reusable bool) {
+	e.Ended()
+	if reusable {
+		d.gateway.pool.put(t.Address, u)
+		return
+	}
+	u.abort()
+}
--- /dev/null
+++ b/internal/gateway/exchange.go
@@ -0,0 +1,47 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/pkg/policy"
+)
+
+// exchange is one request of a caller and its answer.
+type exchange struct {
+	request  *http.Request
+	call     Call
+	received time.Duration // when the header had arrived
+	body     *requestBody
+	route    *policy.Route
+	policy   *policy.Policy
+
+	ctx    context.Context // ends when the caller leaves
+	cancel context.CancelFunc
+	turn   chan struct{} // closed once all earlier answers on the connection were sent
+	done   chan struct{} // closed once the answer was sent
+	answer chan *reply   // receives the answer once
+	// refused says that the answer is set before the request is handled.
+	refused bool
+}
+
+// reply is an answer to a caller.
+type reply struct {
+	status int
+	header http.Header
+	body   []byte    // sent first
+	rest   io.Reader // sent after body, nil if body is everything
+	length int64     // of body and rest together, -1 if unknown
+	close  bool      // the connection ends after the answer
+	// finish is called once the answer was sent, or could not be.
+	finish func(sent bool)
+}
+
+func newReply(status int, text string) *reply {
+	header := http.Header{}
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	body := []byte(text + "\n")
+	return &reply{status: status, header: header, body: body, length: int64(len(body))}
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,159 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/fleet"
+	"github.com/hornbeamstack/hornbeamstack/pkg/evidence"
+)
+
+const (
+	// idleClose is how long after the begin of a stop idle connections are kept:
+	// callers have stopped to use the host by then.
+	idleClose = 3 * time.Second
+	// stopCheck is how often a stop looks whether all work has ended.
+	stopCheck    = 50 * time.Millisecond
+	acceptPause  = 10 * time.Millisecond
+	rateInterval = 500 * time.Millisecond
+)
+
+// Gateway is a running entry host.
+type Gateway struct {
+	config  Config
+	log     *log.Logger
+	start   time.Time
+	started int64
+	view    *view
+	watch   *watch
+	pool    *pool
+	board   *evidence.Board
+	budgets *budgets
+	rates   *rates
+	splits  *splitters
+
+	leaving atomic.Bool
+	mu      sync.Mutex
+	callers map[*caller]bool
+}
+
+// New returns an entry host; Run starts it.
+func New(c Config) *Gateway {
+	g := &Gateway{config: c, log: c.Log, start: time.Now(), started: time.Now().UnixNano(),
+		board: evidence.NewBoard(), callers: map[*caller]bool{}, rates: newRates(), splits: newSplitters()}
+	g.view = newView(&g.config)
+	g.watch = newWatch(&g.config, g.view, g.now, g.self)
+	g.pool = newPool(c.Codec, g.now)
+	g.budgets = newBudgets(&g.config)
+	return g
+}
+
+func (g *Gateway) now() time.Duration { return time.Since(g.start) }
+
+// self describes this host for the control hosts.
+func (g *Gateway) self() fleet.Entry {
+	e := g.config.entry()
+	e.Started, e.Ready, e.Rates = g.started, g.Ready(), g.rates.all()
+	return e
+}
+
+// Ready reports whether callers should use this host.
+func (g *Gateway) Ready() bool {
+	return !g.leaving.Load() && g.watch.informed() && g.view.current() != nil
+}
+
+func (g *Gateway) stopping() bool { return g.leaving.Load() }
+
+// SetSeeds adds control hosts to try.
+func (g *Gateway) SetSeeds(seeds []string) { g.watch.setSeeds(seeds) }
+
+// Run serves callers on l until ctx ends.
+func (g *Gateway) Run(ctx context.Context, l net.Listener) {
+	go g.watch.run(ctx)
+	go g.housekeeping(ctx)
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			if ctx.Err() != nil || g.stopping() {
+				return
+			}
+			g.log.Warn("connection cannot be accepted", "err", err)
+			time.Sleep(acceptPause)
+			continue
+		}
+		c := newCaller(g, conn)
+		g.mu.Lock()
+		g.callers[c] = true
+		g.mu.Unlock()
+		go func() {
+			c.serve()
+			g.mu.Lock()
+			delete(g.callers, c)
+			g.mu.Unlock()
+		}()
+	}
+}
+
+func (g *Gateway) housekeeping(ctx context.Context) {
+	ticker := time.NewTicker(rateInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		g.rates.step(rateInterval)
+		g.board.Keep(func(k evidence.Key) bool {
+			t, ok := g.view.targets.Find(k.Name)
+			return ok && int64(t.Life) == k.Life
+		})
+	}
+}
+
+// Stop ends the host's work within limit: it leaves the directory, finishes
+// what it has read and closes idle connections.
+func (g *Gateway) Stop(limit time.Duration) {
+	begin := time.Now()
+	g.leaving.Store(true)
+	g.log.Info("stopping", "limit", limit)
+	for time.Since(begin) < limit {
+		if time.Since(begin) > idleClose {
+			if g.closeIdle() == 0 {
+				break
+			}
+		}
+		time.Sleep(stopCheck)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.log.Info("stopped", "after", time.Since(begin), "open", len(g.callers))
+}
+
+// closeIdle closes connections without work and returns how many have work.
+func (g *Gateway) closeIdle() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	busy := 0
+	for c := range g.callers {
+		c.mu.Lock()
+		idle := c.pending == 0
+		if idle {
+			c.closing = true
+		}
+		c.mu.Unlock()
+		if !idle {
+			busy++
+			continue
+		}
+		if tcp, ok := c.conn.(*net.TCPConn); ok {
+			_ = tcp.CloseWrite()
+		}
+	}
+	return busy
+}
--- /dev/null
+++ b/internal/gateway/handle.go
@@ -0,0 +1,110 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/pkg/affinity"
+	"github.com/hornbeamstack/hornbeamstack/pkg/evidence"
+	"github.com/hornbeamstack/hornbeamstack/pkg/roster"
+)
+
+const (
+	// maxUnrun bounds the further targets that are tried after ones that did not
+	// run the request.
+	maxUnrun = 3
+	// refusalPause is how long callers are asked to stay away after a refusal.
+	refusalPause = 300 * time.Millisecond
+	// leastLeft is the least time that is worth another attempt.
+	leastLeft = 20 * time.Millisecond
+)
+
+// handle answers a request.
+func (g *Gateway) handle(x *exchange) {
+	r := g.respond(x)
+	x.body.end()
+	x.answer <- r
+}
+
+func (g *Gateway) respond(x *exchange) *reply {
+	p := g.view.current()
+	if p == nil {
+		return g.refuse(x, "no policy is known yet")
+	}
+	x.route = p.Match(x.request.Host, x.request.URL.Path)
+	if x.route == nil {
+		g.log.Info("no route", "id", x.call.ID, "host", x.request.Host, "path", x.request.URL.Path, "version", p.Version)
+		r := newReply(http.StatusNotFound, "no route matches")
+		g.config.Codec.Echo(r.header, x.call.ID)
+		return r
+	}
+	if !x.route.Kind.Idempotent() {
+		// An answer that closes the connection makes the caller send again what
+		// it sent behind, so that must not have begun.
+		select {
+		case <-x.turn:
+		case <-x.ctx.Done():
+			return g.refuse(x, "the caller has left")
+		}
+	}
+	service := g.splits.destination(x.route)
+	g.rates.count(service)
+	g.budgets.request(service, g.now())
+	d := &delivery{gateway: g, exchange: x, service: service, policy: p, tried: map[string]bool{}}
+	d.deadline = x.received + x.route.Timeout
+	if x.call.Left > 0 {
+		d.deadline = min(d.deadline, x.received+x.call.Left)
+	}
+	return d.run()
+}
+
+// refuse says that the request was not run and may be sent again.
+func (g *Gateway) refuse(x *exchange, reason string) *reply {
+	r := newReply(http.StatusServiceUnavailable, reason)
+	g.config.Codec.Refuse(r.header, refusalPause)
+	g.config.Codec.Echo(r.header, x.call.ID)
+	g.log.Info("refused", "id", x.call.ID, "reason", reason)
+	return r
+}
+
+// fail says that the outcome is unknown.
+func (g *Gateway) fail(x *exchange, status int, reason string) *reply {
+	r := newReply(status, reason)
+	g.config.Codec.Echo(r.header, x.call.ID)
+	g.log.Info("failed", "id", x.call.ID, "status", status, "reason", reason, "route", x.route.Name, "after", g.now()-x.received)
+	return r
+}
+
+// choose returns the target for the next attempt of a request.
+func (g *Gateway) choose(d *delivery) (roster.Target, *evidence.Target, bool) {
+	now := g.now()
+	table := g.view.table(now, d.service)
+	if table == nil {
+		return roster.Target{}, nil, false
+	}
+	key := d.exchange.call.Object
+	if key == "" || !d.exchange.route.Sticky {
+		key = d.exchange.call.ID
+	}
+	order := table.Order(g.config.Region, affinity.Object(d.service+d.exchange.route.Prefix, key), d.exchange.route.Allows)
+	var best roster.Target
+	var bestEvidence *evidence.Target
+	verdict := evidence.Down + 1
+	for _, candidate := range order {
+		if d.tried[candidate.Name] {
+			continue
+		}
+		t, ok := g.view.targets.Find(candidate.Name)
+		if !ok {
+			continue
+		}
+		e := g.board.Of(evidence.Key{Name: t.Name, Life: int64(t.Life)})
+		if v := e.Verdict(now); v < verdict {
+			best, bestEvidence, verdict = t, e, v
+			if v == evidence.Good {
+				break
+			}
+		}
+	}
+	return best, bestEvidence, bestEvidence != nil
+}
--- /dev/null
+++ b/internal/gateway/view.go
@@ -0,0 +1,192 @@
+package gateway
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/desired"
+	"github.com/hornbeamstack/hornbeamstack/internal/fleet"
+	"github.com/hornbeamstack/hornbeamstack/pkg/affinity"
+	"github.com/hornbeamstack/hornbeamstack/pkg/policy"
+	"github.com/hornbeamstack/hornbeamstack/pkg/roster"
+)
+
+const (
+	// tableAge is how long the tables of targets are used before they are built
+	// again without a change, so that targets that were cold get their full part.
+	tableAge = 500 * time.Millisecond
+	// silentLimit is how long a silent target is still used if it works.
+	silentLimit = 8 * time.Second
+	// forgetTargets bounds the time a target is remembered without news.
+	forgetTargets = 10 * time.Minute
+)
+
+// view is what the entry host knows of the deployment.
+type view struct {
+	config  *Config
+	targets *roster.Roster
+
+	mu        sync.RWMutex
+	policy    *policy.Policy // nil before the first one
+	orders    uint64         // index of the orders held
+	evacuated []string
+	demand    fleet.Demand
+	entries   int
+
+	tables   map[string]*affinity.Table // by service
+	built    time.Duration
+	revision uint64 // of targets, as built
+	stale    bool
+}
+
+func newView(c *Config) *view {
+	return &view{config: c, targets: roster.New(forgetTargets), entries: 1, stale: true}
+}
+
+func (v *view) current() *policy.Policy {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.policy
+}
+
+// version returns the versions held, for the next pull.
+func (v *view) versions() (policy.Version, uint64) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	if v.policy == nil {
+		return 0, v.orders
+	}
+	return v.policy.Version, v.orders
+}
+
+// setPolicy puts a policy in force unless a newer one is.
+func (v *view) setPolicy(p *policy.Policy) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.policy != nil && v.policy.Version >= p.Version {
+		return false
+	}
+	v.policy, v.stale = p, true
+	return true
+}
+
+// setOrders takes the orders up to an index.
+func (v *view) setOrders(index uint64, o *desired.Orders) bool {
+	for _, d := range o.Departures {
+		v.targets.Leave(d.Name, d.Life)
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if index <= v.orders {
+		return false
+	}
+	v.orders, v.evacuated, v.stale = index, o.Evacuated, true
+	return true
+}
+
+func (v *view) setDemand(d fleet.Demand) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.demand = d
+}
+
+func (v *view) setEntries(n int) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.entries = max(n, 1)
+}
+
+func (v *view) entryCount() int {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.entries
+}
+
+// table returns the targets of a service, nil if there are none.
+func (v *view) table(now time.Duration, service string) *affinity.Table {
+	revision := v.targets.Revision()
+	v.mu.RLock()
+	t, ok := v.tables[service]
+	valid := !v.stale && v.revision == revision && now-v.built < tableAge
+	v.mu.RUnlock()
+	if valid {
+		if !ok {
+			return nil
+		}
+		return t
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.build(now, revision)
+	return v.tables[service]
+}
+
+// build makes the tables of all services; the lock is held.
+func (v *view) build(now time.Duration, revision uint64) {
+	lists := map[string][]affinity.Target{}
+	rooms := map[string]map[string]int{}
+	for _, t := range v.targets.All() {
+		if !v.usable(now, &t) {
+			continue
+		}
+		region := v.config.Regions[t.Zone]
+		lists[t.Service] = append(lists[t.Service], affinity.Target{
+			Name: t.Name, Zone: t.Zone, Region: region, Slots: t.Slots, Share: 1,
+		})
+		if rooms[t.Service] == nil {
+			rooms[t.Service] = map[string]int{}
+		}
+		rooms[t.Service][region] += t.Slots
+	}
+	v.tables = map[string]*affinity.Table{}
+	for service, list := range lists {
+		v.limitCold(now, service, list)
+		v.tables[service] = affinity.NewTable(list, affinity.Splits(v.evenDemand(), rooms[service]))
+	}
+	v.built, v.revision, v.stale = now, revision, false
+}
+
+// evenDemand gives each availability zone the same demand. The split of objects
+// over regions then follows the places alone and does not move with the traffic.
+func (v *view) evenDemand() map[string]float64 {
+	demand := map[string]float64{}
+	for _, region := range v.config.Regions {
+		demand[region]++
+	}
+	return demand
+}
+
+func (v *view) usable(now time.Duration, t *roster.Target) bool {
+	if t.Leaving || slices.Contains(v.evacuated, t.Zone) {
+		return false
+	}
+	return !t.Silent || now-t.Heard < silentLimit
+}
+
+// coldUse is the part of the rate that a cold target tolerates that is planned
+// for, since the requests of a second vary.
+const coldUse = 0.5
+
+// limitCold lowers the share of cold targets so that the expected requests of a
+// second stay within what they tolerate.
+func (v *view) limitCold(now time.Duration, service string, list []affinity.Target) {
+	if v.policy == nil || len(list) == 0 {
+		return
+	}
+	s, ok := v.policy.Services[service]
+	if !ok || s.ColdPerSecond <= 0 {
+		return
+	}
+	rate := 0.0
+	for _, d := range v.demand[service] {
+		rate += d
+	}
+	expected := max(rate/float64(len(list)), s.ColdPerSecond)
+	for i := range list {
+		t, found := v.targets.Find(list[i].Name)
+		if found && t.Cold(now) {
+			list[i].Share = min(1, coldUse*s.ColdPerSecond/expected)
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/watch.go
@@ -0,0 +1,231 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/fleet"
+	"github.com/hornbeamstack/hornbeamstack/internal/peer"
+)
+
+const (
+	// watchers is the number of control hosts that are watched at once, so that
+	// the loss of one delays no news.
+	watchers = 2
+	// pullWait is how long a control host holds a pull that brings no news.
+	pullWait = 400 * time.Millisecond
+	// pullTimeout bounds a pull; the control host is given up then.
+	pullTimeout = 1200 * time.Millisecond
+	// shunTime is how long a control host that failed is not watched.
+	shunTime  = 3 * time.Second
+	idlePause = 100 * time.Millisecond
+)
+
+// controlState is what the watch knows of one control host.
+type controlState struct {
+	control  fleet.Control
+	epoch    int64
+	revision uint64
+	watched  bool
+	shunned  time.Duration // not to be used before
+}
+
+// watch keeps the view up to date from some control hosts.
+type watch struct {
+	config *Config
+	view   *view
+	now    func() time.Duration
+	self   func() fleet.Entry
+	onNews func()
+
+	mu       sync.Mutex
+	controls map[string]*controlState
+	digest   uint64
+	demand   int64
+	fresh    time.Duration // last reply of a control host in contact with a majority
+}
+
+func newWatch(c *Config, v *view, now func() time.Duration, self func() fleet.Entry) *watch {
+	w := &watch{config: c, view: v, now: now, self: self, controls: map[string]*controlState{}}
+	w.setSeeds(c.Seeds)
+	return w
+}
+
+// setSeeds adds control hosts to try.
+func (w *watch) setSeeds(seeds []string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, seed := range seeds {
+		if _, ok := w.controls[seed]; !ok {
+			w.controls[seed] = &controlState{control: fleet.Control{Peer: seed}}
+		}
+	}
+}
+
+// run watches until ctx ends.
+func (w *watch) run(ctx context.Context) {
+	var wg sync.WaitGroup
+	for range watchers {
+		wg.Go(func() { w.watchOne(ctx) })
+	}
+	wg.Wait()
+}
+
+// watchOne pulls from one control host after another.
+func (w *watch) watchOne(ctx context.Context) {
+	for ctx.Err() == nil {
+		c := w.take()
+		if c == nil {
+			pause(ctx, idlePause)
+			continue
+		}
+		for ctx.Err() == nil && w.pull(ctx, c) && !w.nearer(c) {
+		}
+		w.release(c)
+	}
+}
+
+// take picks the nearest control host that is neither watched nor shunned.
+func (w *watch) take() *controlState {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	best := w.best(func(c *controlState) bool { return !c.watched && c.shunned <= w.now() })
+	if best != nil {
+		best.watched = true
+	}
+	return best
+}
+
+func (w *watch) best(fits func(*controlState) bool) *controlState {
+	var list []*controlState
+	for _, c := range w.controls {
+		if fits(c) {
+			list = append(list, c)
+		}
+	}
+	if len(list) == 0 {
+		return nil
+	}
+	return slices.MinFunc(list, func(a, b *controlState) int {
+		return cmp.Or(cmp.Compare(w.distance(a), w.distance(b)), cmp.Compare(a.control.Peer, b.control.Peer))
+	})
+}
+
+// distance orders control hosts: own availability zone, own region, others.
+func (w *watch) distance(c *controlState) int {
+	switch {
+	case c.control.Zone == w.config.Zone:
+		return 0
+	case c.control.Region == w.config.Region:
+		return 1
+	}
+	return 2
+}
+
+// nearer reports whether a nearer control host than c is free.
+func (w *watch) nearer(c *controlState) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	best := w.best(func(o *controlState) bool { return !o.watched && o.shunned <= w.now() })
+	return best != nil && w.distance(best) < w.distance(c)
+}
+
+func (w *watch) release(c *controlState) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	c.watched = false
+}
+
+// pull asks a control host for news. It reports whether to go on with it.
+func (w *watch) pull(ctx context.Context, c *controlState) bool {
+	version, orders := w.view.versions()
+	self := w.self()
+	w.mu.Lock()
+	req := fleet.PullRequest{Entry: self, Version: version, Orders: orders, Epoch: c.epoch, Revision: c.revision,
+		Controls: w.digest, Demand: w.demand, Wait: pullWait}
+	address := c.control.Peer
+	w.mu.Unlock()
+	call, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	reply, err := peer.Call[fleet.PullRequest, fleet.PullReply](call, w.config.Client, address, fleet.MethodPull, req)
+	if err != nil {
+		if ctx.Err() == nil {
+			w.shun(c, "unreachable", err)
+		}
+		return false
+	}
+	w.learn(c, &reply)
+	if !reply.Fresh {
+		w.shun(c, "not in contact with a majority", nil)
+	}
+	return reply.Fresh
+}
+
+func (w *watch) shun(c *controlState, reason string, err error) {
+	w.mu.Lock()
+	c.shunned = w.now() + shunTime
+	address := c.control.Peer
+	w.mu.Unlock()
+	w.config.Log.Warn("control host given up", "control", address, "reason", reason, "err", err)
+}
+
+// learn puts the reply of a control host into the view.
+func (w *watch) learn(c *controlState, reply *fleet.PullReply) {
+	now := w.now()
+	if reply.Document != nil {
+		p, found := w.config.Decode(reply.Document.Body)
+		if err := found.Err(); err != nil {
+			w.config.Log.Error("policy cannot be read", "version", reply.Document.Version, "err", err)
+		} else if w.view.setPolicy(p) {
+			w.config.Log.Info("policy in force", "version", p.Version, "routes", len(p.Routes), "control", c.control.Peer)
+		}
+	}
+	if reply.Orders != nil && w.view.setOrders(reply.Index, reply.Orders) {
+		w.config.Log.Info("orders in force", "index", reply.Index, "evacuated", reply.Orders.Evacuated, "departures", len(reply.Orders.Departures))
+	}
+	for i := range reply.Targets {
+		w.view.targets.Note(now, reply.Targets[i])
+	}
+	if reply.Demand != nil {
+		w.view.setDemand(reply.Demand)
+	}
+	w.view.setEntries(reply.Entries)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	c.epoch, c.revision, w.demand = reply.Epoch, reply.Revision, reply.DemandNumber
+	if reply.Fresh {
+		w.fresh = now
+	}
+	if reply.Controls != nil {
+		w.setControls(reply)
+	}
+}
+
+func (w *watch) setControls(reply *fleet.PullReply) {
+	w.digest = reply.Digest
+	for _, control := range reply.Controls {
+		c, ok := w.controls[control.Peer]
+		if !ok {
+			c = &controlState{}
+			w.controls[control.Peer] = c
+		}
+		c.control = control
+	}
+}
+
+// informed reports whether a control host in contact with a majority has answered.
+func (w *watch) informed() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.fresh > 0
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -21,8 +21,11 @@
 	// peer replaces a connection after 1 s of silence under a call.
 	probeInterval = time.Second
 	probeTimeout  = 1200 * time.Millisecond
-	joinInterval  = 500 * time.Millisecond
-	retryInterval = 50 * time.Millisecond
+	joinInterval  = 250 * time.Millisecond
+	// silenceBeforeJoin is how long a member that hears no leader waits before
+	// it asks for admission; a working group elects a new leader sooner.
+	silenceBeforeJoin = 2 * time.Second
+	retryInterval     = 50 * time.Millisecond
 	// A snapshot is taken after this many entries or bytes of commands.
 	snapshotEntries = 1000
 	snapshotBytes   = 8 << 20
@@ -44,10 +47,18 @@
 	Host    string
 	Folder  string
 	Members []Member // as listed at the first start; later the history decides
-	Server  *peer.Server
-	Client  *peer.Client
-	Machine StateMachine
-	Log     *log.Logger
+	// Peer is the own address; needed only if Members does not list Host.
+	Peer string
+	// Open admits hosts that Members does not list, and removes members that
+	// stay silent for SilentAfter.
+	Open        bool
+	SilentAfter time.Duration
+	// NoFounding forbids to found a group: the disk may have been lost.
+	NoFounding bool
+	Server     *peer.Server
+	Client     *peer.Client
+	Machine    StateMachine
+	Log        *log.Logger
 }
 
 func (c *Config) check() error {
@@ -61,13 +72,16 @@
 		}
 		names[m.Name] = true
 	}
-	if !names[c.Host] {
+	if !names[c.Host] && (!c.Open || c.Peer == "") {
 		return fmt.Errorf("replica: host %q is not one of the members", c.Host)
 	}
 	return nil
 }
 
 func (c *Config) peerOf(name string) string {
+	if name == c.Host && c.Peer != "" {
+		return c.Peer
+	}
 	i := slices.IndexFunc(c.Members, func(m Member) bool { return m.Name == name })
 	if i < 0 {
 		return ""
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -36,7 +36,9 @@
 	mu     sync.Mutex
 	status agree.Status // after the last durable output
 	begun  bool         // holds a history
-	err    error
+	// contacts are other hosts of the group, by name, with their addresses.
+	contacts map[string]string
+	err      error
 }
 
 // Start opens the folder and takes part in the group. It does not wait for a leader.
@@ -62,10 +64,14 @@
 		inbox: make(chan agree.Message, inboxLength), calls: make(chan func()),
 		saved: make(chan savedSnapshot, 1), quit: make(chan struct{}),
 		pending: map[uint64]proposal{}, reads: map[uint64]chan<- agree.ReadResult{},
+		contacts: map[string]string{},
+	}
+	for _, m := range c.Members {
+		g.contacts[m.Name] = m.Peer
 	}
 	g.node = agree.New(agree.Options{
 		Self: g.self, Peer: c.peerOf(c.Host), State: p.State, Snapshot: p.Snapshot, Entries: p.Entries,
-		Random: rand.Int64N,
+		Random: rand.Int64N, Open: c.Open, SilentAfter: c.SilentAfter,
 	}, g.now())
 	g.applier = newApplier(c.Machine, p.Snapshot.Index, g.fail)
 	g.publish()
--- a/internal/replica/join.go
+++ b/internal/replica/join.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -24,7 +25,7 @@
 	defer ticker.Stop()
 	reason := "" // last one logged
 	for {
-		if !g.snapshotStatus().Admitted {
+		if g.outside() {
 			if err := g.found(); err != nil && err.Error() != reason {
 				reason = err.Error()
 				g.config.Log.Info("not a member yet", "reason", reason)
@@ -39,12 +40,35 @@
 	}
 }
 
-// askAdmission tells all listed members of this incarnation; the leader acts on it.
-func (g *Group) askAdmission() {
-	for _, m := range g.config.Members {
-		if m.Name == g.self.Name {
-			continue
+// outside reports whether this host may be no member. A host that was removed
+// while it was away still holds the membership that names it, but hears no leader.
+func (g *Group) outside() bool {
+	s := g.snapshotStatus()
+	if !s.Admitted {
+		return true
+	}
+	return g.config.Open && s.Role != agree.Leader && g.now()-s.HeardLeader > silenceBeforeJoin
+}
+
+// others returns all hosts of the group that this host has heard of, except itself.
+func (g *Group) others() []Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range g.status.Members.Servers {
+		g.contacts[s.ID.Name] = s.Peer
+	}
+	var members []Member
+	for name, addr := range g.contacts {
+		if name != g.self.Name && addr != "" {
+			members = append(members, Member{Name: name, Peer: addr})
 		}
+	}
+	return members
+}
+
+// askAdmission tells all known members of this incarnation; the leader acts on it.
+func (g *Group) askAdmission() {
+	for _, m := range g.others() {
 		message := &agree.Message{Kind: agree.MsgJoin, From: g.self, To: agree.ID{Name: m.Name}, Peer: g.config.peerOf(g.self.Name)}
 		_ = peer.Notify(g.config.Client, m.Peer, method, wireRequest{Kind: wireMessage, Message: message})
 	}
@@ -55,6 +79,9 @@
 	if g.hasHistory() {
 		return nil
 	}
+	if g.config.NoFounding {
+		return errors.New("waiting for admission: this host may not found a group")
+	}
 	founder := slices.MinFunc(g.config.Members, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
 	if founder.Name != g.self.Name {
 		return fmt.Errorf("waiting for %s to found the group or for admission", founder.Name)
@@ -98,5 +125,12 @@
 	if reply.Host != m.Name {
 		return reply, fmt.Errorf("address %s of member %s belongs to host %q", m.Peer, m.Name, reply.Host)
 	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, other := range reply.Members {
+		if _, known := g.contacts[other.Name]; !known {
+			g.contacts[other.Name] = other.Peer
+		}
+	}
 	return reply, nil
 }
--- a/internal/replica/probe.go
+++ b/internal/replica/probe.go
@@ -6,33 +6,29 @@
 	"time"
 )
 
-// probe calls each member once in an interval. One-way messages do not notice
-// a connection that is open but dead; a call does, and peer replaces it.
+// probe calls each other host once in an interval. One-way messages do not
+// notice a connection that is open but dead; a call does, and peer replaces it.
 func (g *Group) probe() {
 	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
 	var wg sync.WaitGroup
-	for _, m := range g.config.Members {
-		if m.Name != g.self.Name {
-			wg.Go(func() { g.probeMember(ctx, m) })
-		}
-	}
-	<-g.quit
-	cancel()
-	wg.Wait()
-}
-
-func (g *Group) probeMember(ctx context.Context, m Member) {
+	defer wg.Wait()
+	defer cancel()
 	ticker := time.NewTicker(probeInterval)
 	defer ticker.Stop()
 	for {
 		select {
-		case <-ctx.Done():
+		case <-g.quit:
 			return
 		case <-ticker.C:
 		}
-		attempt, cancel := context.WithTimeout(ctx, probeTimeout)
-		_, _ = g.hello(attempt, m) // only its effect on the connection matters
-		cancel()
+		for _, m := range g.others() {
+			wg.Go(func() { g.probeMember(ctx, m) })
+		}
 	}
 }
+
+func (g *Group) probeMember(ctx context.Context, m Member) {
+	attempt, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	_, _ = g.hello(attempt, m) // only its effect on the connection matters
+}
--- a/internal/replica/serve.go
+++ b/internal/replica/serve.go
@@ -23,7 +23,13 @@
 	case wireHello:
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		return wireReply{Host: g.self.Name, Incarnation: g.self.Incarnation, HasHistory: g.begun}, nil
+		reply := wireReply{Host: g.self.Name, Incarnation: g.self.Incarnation, HasHistory: g.begun}
+		if g.config.Open {
+			for _, s := range g.status.Members.Servers {
+				reply.Members = append(reply.Members, wireMember{Name: s.ID.Name, Peer: s.Peer})
+			}
+		}
+		return reply, nil
 	case wireRead:
 		index, err := g.localReadIndex(ctx)
 		return wireReply{Index: index}, err
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -53,6 +53,19 @@
 	return s
 }
 
+// Fresh reports whether this host has been in contact with a majority, by way
+// of the leader, within the given time.
+func (g *Group) Fresh(within time.Duration) bool {
+	s := g.snapshotStatus()
+	if g.stopped() || !s.Admitted {
+		return false
+	}
+	if s.Role == agree.Leader {
+		return s.QuorumUntil+within > g.now()
+	}
+	return s.Leader != (agree.ID{}) && g.now()-s.HeardLeader < within
+}
+
 func (g *Group) snapshotStatus() agree.Status {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/replica/wire.go
+++ b/internal/replica/wire.go
@@ -22,4 +22,11 @@
 	Incarnation string `cbor:"2,keyasint,omitempty"`
 	HasHistory  bool   `cbor:"3,keyasint,omitempty"`
 	Index       uint64 `cbor:"4,keyasint,omitempty"`
+
+	Members []wireMember `cbor:"5,keyasint,omitempty"` // as the host knows them
+}
+
+type wireMember struct {
+	Name string `cbor:"1,keyasint"`
+	Peer string `cbor:"2,keyasint"`
 }
--- /dev/null
+++ b/pkg/affinity/split.go
@@ -0,0 +1,52 @@
+package affinity
+
+import (
+	"maps"
+	"slices"
+)
+
+// localHeadroom is how far above the average load per slot a region may be
+// before part of its objects is served elsewhere.
+const localHeadroom = 1.1
+
+// Split is the part of the objects of one region's callers that each region serves.
+type Split map[string]float64
+
+// Splits divides the demand of each region over the slots of all regions: the
+// own region first, up to localHeadroom above the average load, the rest where
+// there is room. Regions without demand are given one, too.
+func Splits(demand map[string]float64, slots map[string]int) map[string]Split {
+	totalDemand, totalSlots := 0.0, 0
+	for _, d := range demand {
+		totalDemand += d
+	}
+	for _, n := range slots {
+		totalSlots += n
+	}
+	splits := map[string]Split{}
+	if totalSlots == 0 {
+		return splits
+	}
+	limit := localHeadroom * totalDemand / float64(totalSlots) // load of one slot
+	room, totalRoom := map[string]float64{}, 0.0
+	for region, n := range slots {
+		if spare := limit*float64(n) - demand[region]; spare > 0 {
+			room[region] = spare
+			totalRoom += spare
+		}
+	}
+	for _, region := range slices.Sorted(maps.Keys(demand)) {
+		own := 1.0
+		if d := demand[region]; d > 0 {
+			own = min(1, limit*float64(slots[region])/d)
+		}
+		split := Split{region: own}
+		for other, spare := range room {
+			if other != region && totalRoom > 0 {
+				split[other] = (1 - own) * spare / totalRoom
+			}
+		}
+		splits[region] = split
+	}
+	return splits
+}
--- a/pkg/agree/change.go
+++ b/pkg/agree/change.go
@@ -3,7 +3,8 @@
 import "time"
 
 // Admit replaces the server of the same name by a new incarnation as a
-// learner. The leader promotes it once it holds all committed entries.
+// learner. The leader promotes it once it holds all committed entries. A
+// server of a new name is added if Options.Open is set.
 func (n *Node) Admit(now time.Duration, s Server) error {
 	n.Tick(now)
 	if n.role != Leader {
@@ -11,7 +12,7 @@
 	}
 	members := n.members.current()
 	old, ok := members.Find(s.ID.Name)
-	if !ok {
+	if !ok && !n.options.Open {
 		return ErrUnknownMember
 	}
 	if old.ID == s.ID {
@@ -20,6 +21,11 @@
 	if err := n.mayChange(); err != nil {
 		return err
 	}
+	if !ok {
+		s.Voter = false
+		n.change(members.with(s))
+		return nil
+	}
 	// An active incarnation shows that two processes use the same name.
 	if old.ID == n.self || n.now-n.progressOf(old.ID).heard < n.options.ElectionMax {
 		return ErrStillActive
@@ -48,6 +54,26 @@
 	}
 }
 
+// dropSilent removes one member that has not answered for Options.SilentAfter,
+// so that a host that never returns does not count against the majority for
+// good. The host asks for admission again if it does return.
+func (n *Node) dropSilent() {
+	if n.options.SilentAfter == 0 || n.role != Leader || n.mayChange() != nil {
+		return
+	}
+	members := n.members.current()
+	for _, s := range members.Servers {
+		if s.ID == n.self || n.now-n.progressOf(s.ID).heard < n.options.SilentAfter {
+			continue
+		}
+		if s.Voter && members.voters() <= minVoters {
+			continue
+		}
+		n.change(members.without(s.ID.Name))
+		return
+	}
+}
+
 // mayChange guards I5.
 func (n *Node) mayChange() error {
 	if !n.settled() {
--- a/pkg/agree/membership.go
+++ b/pkg/agree/membership.go
@@ -30,27 +30,35 @@
 }
 
 // Quorum is the smallest number of voters that is a majority.
-func (m Membership) Quorum() int {
+func (m Membership) Quorum() int { return m.voters()/2 + 1 }
+
+func (m Membership) voters() int {
 	voters := 0
 	for _, s := range m.Servers {
 		if s.Voter {
 			voters++
 		}
 	}
-	return voters/2 + 1
+	return voters
 }
 
-// with returns a copy in which s takes the place of the server of its name.
+// with returns a copy in which s takes the place of the server of its name, or
+// is added if there is none.
 func (m Membership) with(s Server) []Server {
 	servers := slices.Clone(m.Servers)
-	for i := range servers {
-		if servers[i].ID.Name == s.ID.Name {
-			servers[i] = s
-		}
+	i := slices.IndexFunc(servers, func(o Server) bool { return o.ID.Name == s.ID.Name })
+	if i < 0 {
+		return append(servers, s)
 	}
+	servers[i] = s
 	return servers
 }
 
+// without returns a copy that lacks the server of the name.
+func (m Membership) without(name string) []Server {
+	return slices.DeleteFunc(slices.Clone(m.Servers), func(s Server) bool { return s.ID.Name == name })
+}
+
 // quorumValue returns the largest value that a majority of voters has reached.
 func quorumValue[T int64 | uint64](m Membership, value func(ID) T) T {
 	var values []T
--- a/pkg/agree/node.go
+++ b/pkg/agree/node.go
@@ -83,6 +83,7 @@
 	n.now = max(n.now, now)
 	if n.role == Leader {
 		n.checkQuorum()
+		n.dropSilent()
 		n.beatIfDue()
 		return
 	}
--- a/pkg/agree/options.go
+++ b/pkg/agree/options.go
@@ -19,6 +19,8 @@
 	resendBeats = 3
 	// snapshotResend is longer, since a large snapshot takes seconds on a slow link.
 	snapshotResend = 5 * time.Second
+	// minVoters is the smallest number of voters that removals of silent members leave.
+	minVoters = 3
 	// trailingEntries stay in memory behind a snapshot, so that a follower
 	// that is slightly behind gets entries instead of the snapshot.
 	trailingEntries = 256
@@ -36,6 +38,11 @@
 	// Random returns a number in [0, n).
 	Random func(n int64) int64
 
+	// Open lets servers join whose names the membership does not hold.
+	Open bool
+	// SilentAfter is the silence after which a member is removed; 0 keeps it.
+	SilentAfter time.Duration
+
 	ElectionMin time.Duration
 	ElectionMax time.Duration
 	Heartbeat   time.Duration
--- a/pkg/agree/status.go
+++ b/pkg/agree/status.go
@@ -14,7 +14,9 @@
 	// Admitted is false until a committed membership is known to hold this
 	// server; it then asks for admission. An uncommitted one may be replaced
 	// by another leader that never heard of this server.
-	Admitted    bool
+	Admitted bool
+	// HeardLeader is when a follower last heard the leader of its term.
+	HeardLeader time.Duration
 	LeaderSince time.Duration // for the leader: when it was elected
 	// QuorumUntil is the time until which no other server can be elected,
 	// since a majority refuses votes. Zero unless leader.
@@ -26,6 +28,7 @@
 	s := Status{
 		Self: n.self, Role: n.role, Leader: n.leader, Term: n.state.Term,
 		Commit: n.commit, Last: n.log.last(), Members: n.members.current(),
+		HeardLeader: n.heardLeader,
 	}
 	s.Admitted = s.Members.Has(n.self) && s.Members.Index <= n.commit
 	if n.role == Leader {
--- /dev/null
+++ b/pkg/evidence/target.go
@@ -0,0 +1,125 @@
+package evidence
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// firstPause and longestPause bound the time that an unreachable target is left alone.
+	firstPause   = 500 * time.Millisecond
+	longestPause = 4 * time.Second
+	// memory is the time after which an outcome has lost most of its weight.
+	memory = 4 * time.Second
+	// loadAge is how long a reported load says something.
+	loadAge = time.Second
+	// doubtfulFailures is the share of failed work from which a target is avoided.
+	doubtfulFailures = 0.25
+	minOutcomes      = 2.5
+)
+
+// Load is what a target reported of itself.
+type Load struct {
+	Running, Waiting, Slots int
+}
+
+// Target collects evidence about one life of a target. It is safe for concurrent use.
+type Target struct {
+	mu        sync.Mutex
+	downUntil time.Duration
+	pause     time.Duration
+	good, bad float64 // outcomes, decaying
+	updated   time.Duration
+	load      Load
+	loaded    time.Duration
+	running   int // requests of this host at the target
+}
+
+// Began notes a request that is sent.
+func (t *Target) Began() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.running++
+}
+
+// Ended notes the end of a request.
+func (t *Target) Ended() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.running--
+}
+
+// Unreachable notes a connection that could not be opened or that broke
+// without an answer.
+func (t *Target) Unreachable(now time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now < t.downUntil {
+		return
+	}
+	t.pause = min(max(2*t.pause, firstPause), longestPause)
+	t.downUntil = now + t.pause
+}
+
+// Worked notes an answer that shows that the target works.
+func (t *Target) Worked(now time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.decay(now)
+	t.good++
+	t.pause, t.downUntil = 0, 0
+}
+
+// Failed notes work that the target failed.
+func (t *Target) Failed(now time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.decay(now)
+	t.bad++
+}
+
+func (t *Target) decay(now time.Duration) {
+	if past := now - t.updated; past > 0 {
+		factor := max(0, 1-float64(past)/float64(memory))
+		t.good *= factor
+		t.bad *= factor
+	}
+	t.updated = now
+}
+
+// Loaded notes a reported load.
+func (t *Target) Loaded(now time.Duration, l Load) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.load, t.loaded = l, now
+}
+
+// Verdict is how willingly a target is used.
+type Verdict uint8
+
+// Verdicts, best first.
+const (
+	Good     Verdict = iota
+	Full             // its slots and as many waiting places are taken
+	Doubtful         // it fails part of its work
+	Down             // it cannot be reached
+)
+
+func (v Verdict) String() string { return [...]string{"good", "full", "doubtful", "down"}[v] }
+
+// Verdict judges the target.
+func (t *Target) Verdict(now time.Duration) Verdict {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now < t.downUntil {
+		return Down
+	}
+	t.decay(now)
+	if total := t.good + t.bad; total >= minOutcomes && t.bad > doubtfulFailures*total {
+		return Doubtful
+	}
+	if t.loaded > 0 && now-t.loaded < loadAge && t.load.Slots > 0 && t.load.Waiting >= t.load.Slots {
+		return Full
+	}
+	return Good
+}
--- /dev/null
+++ b/pkg/roster/roster.go
@@ -0,0 +1,205 @@
+package roster
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// coldTolerance is the change of a cold period's end that is worth telling others.
+	coldTolerance = 300 * time.Millisecond
+	// maxDepartures bounds the remembered lives that have left.
+	maxDepartures = 8192
+)
+
+// Roster is the set of known targets. It is safe for concurrent use.
+type Roster struct {
+	mu         sync.RWMutex
+	targets    map[string]*Target
+	addresses  map[string]string // address to name
+	departures map[string]Life   // lives up to this one are leaving
+	order      []string          // of departures, oldest first
+	revision   uint64
+	forgetting time.Duration
+}
+
+// New returns an empty roster that forgets targets that stay silent for forgetAfter.
+func New(forgetAfter time.Duration) *Roster {
+	return &Roster{targets: map[string]*Target{}, addresses: map[string]string{}, departures: map[string]Life{},
+		forgetting: forgetAfter}
+}
+
+// Revision counts the changes that others have to know.
+func (r *Roster) Revision() uint64 {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.revision
+}
+
+// Note takes an announcement, possibly by way of another host. It reports
+// whether the roster changed in a way that others have to know.
+func (r *Roster) Note(now time.Duration, report Report) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a := report.Announcement
+	heard := max(now-report.Age, 0)
+	old, known := r.targets[a.Name]
+	if known && !a.after(&old.Announcement) {
+		if a.Life != old.Life || a.Sequence != old.Sequence {
+			return false
+		}
+		old.Heard = max(old.Heard, heard)
+		if old.Silent == report.Silent {
+			return false
+		}
+		old.Silent = report.Silent
+		r.touch(old)
+		return true
+	}
+	if left, ok := r.departures[a.Name]; ok && a.Life <= left {
+		a.Leaving = true
+	}
+	t := &Target{Announcement: a, Heard: heard, Joined: heard, Silent: report.Silent, revision: r.revision}
+	if a.ColdFor > 0 {
+		t.ColdUntil = heard + a.ColdFor
+	}
+	changed := true
+	if known && old.Life == a.Life {
+		t.Joined = old.Joined
+		t.Leaving = t.Leaving || old.Leaving
+		t.Heard = max(old.Heard, heard)
+		changed = materially(old, t)
+		t.revision = old.revision
+	}
+	r.targets[a.Name] = t
+	if changed {
+		r.touch(t)
+		r.claim(t, old)
+	}
+	return changed
+}
+
+// claim gives the address to t and takes it from the target that had it.
+func (r *Roster) claim(t, old *Target) {
+	if old != nil && old.Address != t.Address && r.addresses[old.Address] == t.Name {
+		delete(r.addresses, old.Address)
+	}
+	holder, ok := r.targets[r.addresses[t.Address]]
+	if ok && holder.Name != t.Name {
+		if holder.Life > t.Life {
+			t.Leaving = true // a late announcement of a target whose address is taken
+			return
+		}
+		holder.Leaving = true
+		r.touch(holder)
+	}
+	r.addresses[t.Address] = t.Name
+}
+
+func materially(old, t *Target) bool {
+	drift := t.ColdUntil - old.ColdUntil
+	return old.Service != t.Service || old.Address != t.Address || old.Zone != t.Zone || old.Slots != t.Slots ||
+		old.Leaving != t.Leaving || old.Silent != t.Silent || drift > coldTolerance || drift < -coldTolerance
+}
+
+func (r *Roster) touch(t *Target) {
+	r.revision++
+	t.revision = r.revision
+}
+
+// Leave marks the lives of a target up to life as leaving.
+func (r *Roster) Leave(name string, life Life) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	old, known := r.departures[name]
+	if known && old >= life {
+		return
+	}
+	if !known {
+		r.order = append(r.order, name)
+	}
+	r.departures[name] = life
+	if len(r.order) > maxDepartures {
+		delete(r.departures, r.order[0])
+		r.order = r.order[1:]
+	}
+	if t, ok := r.targets[name]; ok && t.Life <= life && !t.Leaving {
+		t.Leaving = true
+		r.touch(t)
+	}
+}
+
+// Find returns a target.
+func (r *Roster) Find(name string) (Target, bool) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	t, ok := r.targets[name]
+	if !ok {
+		return Target{}, false
+	}
+	return *t, true
+}
+
+// Since returns the targets that changed after a revision.
+func (r *Roster) Since(revision uint64) ([]Target, uint64) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	var list []Target
+	for _, t := range r.targets {
+		if t.revision > revision {
+			list = append(list, *t)
+		}
+	}
+	return list, r.revision
+}
+
+// All returns all targets.
+func (r *Roster) All() []Target {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	list := make([]Target, 0, len(r.targets))
+	for _, t := range r.targets {
+		list = append(list, *t)
+	}
+	return list
+}
+
+// Sweep marks targets whose announcements are overdue by now.
+func (r *Roster) Sweep(now, overdue time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, t := range r.targets {
+		if !t.Silent && now-t.Heard > overdue {
+			t.Silent = true
+			r.touch(t)
+		}
+	}
+}
+
+// Forget drops targets that have been silent for too long.
+func (r *Roster) Forget(now time.Duration) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var names []string
+	for name, t := range r.targets {
+		if now-t.Heard < r.forgetting {
+			continue
+		}
+		names = append(names, name)
+		delete(r.targets, name)
+		if r.addresses[t.Address] == name {
+			delete(r.addresses, t.Address)
+		}
+	}
+	return names
+}
+
+// ReportOf prepares a target for another host.
+func ReportOf(t *Target, now time.Duration) Report {
+	report := Report{Announcement: t.Announcement, Age: now - t.Heard, Silent: t.Silent}
+	report.ColdFor = 0
+	if t.Cold(now) {
+		report.ColdFor = t.ColdUntil - t.Heard
+	}
+	return report
+}
