Bound what all entry hosts together send to a cold target

Ruled out: unknown cold periods; the announcement had reached all entry hosts. Change: hosts learn their place among the live entry hosts; each sends a fixed number of requests in any second, and only as many hosts send as the bound allows.

--- a/internal/core/pull.go
+++ b/internal/core/pull.go
@@ -63,6 +63,11 @@
 	}
 	live := n.entries.live(now)
 	reply.Entries = len(live)
+	for i := range live {
+		if live[i].Name < req.Entry.Name {
+			reply.Rank++
+		}
+	}
 	if reply.DemandNumber = int64(now / demandPeriod); reply.DemandNumber != req.Demand {
 		reply.Demand = demandOf(live)
 	}
--- a/internal/fleet/pull.go
+++ b/internal/fleet/pull.go
@@ -42,4 +42,5 @@
 	Demand       Demand `cbor:"10,keyasint,omitempty"`
 	DemandNumber int64  `cbor:"11,keyasint"`
 	Entries      int    `cbor:"12,keyasint"` // live entry hosts
+	Rank         int    `cbor:"13,keyasint"` // place of the asking host among them, by name
 }
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -22,6 +22,8 @@
 	RetryRatio  float64           // repeats that all hosts may send for each request of a service
 	RetrySlack  float64           // repeats allowed besides, in RetryWindow
 	RetryWindow time.Duration
+	ColdOverage float64 // factor above the stated rate that a cold target still bears
+	ColdSlack   float64 // requests a second that it bears besides
 	Codec       Codec
 	Decode      func(body []byte) (*policy.Policy, finding.List)
 	Client      *peer.Client
--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -99,7 +99,11 @@
 	if !x.body.repeatable() || d.deadline-g.now() < leastLeft {
 		return false
 	}
-	return last.outcome == unreached || g.budgets.take(d.service, g.now(), g.view.entryCount())
+	if last.outcome == unreached {
+		return true
+	}
+	_, hosts := g.view.place()
+	return g.budgets.take(d.service, g.now(), hosts)
 }
 
 // giveUp returns the final answer after attempts that failed.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,6 +36,7 @@
 	budgets *budgets
 	rates   *rates
 	splits  *splitters
+	cold    *coldLimiter
 
 	leaving atomic.Bool
 	mu      sync.Mutex
@@ -50,6 +51,7 @@
 	g.watch = newWatch(&g.config, g.view, g.now, g.self)
 	g.pool = newPool(c.Codec, g.now)
 	g.budgets = newBudgets(&g.config)
+	g.cold = newColdLimiter(&g.config, g.view)
 	return g
 }
 
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -98,6 +98,9 @@
 		if !ok {
 			continue
 		}
+		if t.Cold(now) && !g.cold.allowed(now, &t, d.policy) {
+			continue
+		}
 		e := g.board.Of(evidence.Key{Name: t.Name, Life: int64(t.Life)})
 		if v := e.Verdict(now); v < verdict {
 			best, bestEvidence, verdict = t, e, v
@@ -106,5 +109,8 @@
 			}
 		}
 	}
+	if bestEvidence != nil && best.Cold(now) {
+		g.cold.sent(now, best.Name)
+	}
 	return best, bestEvidence, bestEvidence != nil
 }
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -32,7 +32,8 @@
 	orders    uint64         // index of the orders held
 	evacuated []string
 	demand    fleet.Demand
-	entries   int
+	entries   int // live entry hosts
+	rank      int // place of this host among them
 
 	tables   map[string]*affinity.Table // by service
 	built    time.Duration
@@ -91,16 +92,17 @@
 	v.demand = d
 }
 
-func (v *view) setEntries(n int) {
+func (v *view) setPlace(rank, entries int) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.entries = max(n, 1)
+	v.rank, v.entries = rank, max(entries, 1)
 }
 
-func (v *view) entryCount() int {
+// place returns the place of this host among all entry hosts.
+func (v *view) place() (rank, entries int) {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
-	return v.entries
+	return v.rank, v.entries
 }
 
 // table returns the targets of a service, nil if there are none.
@@ -132,7 +134,7 @@
 		}
 		region := v.config.Regions[t.Zone]
 		lists[t.Service] = append(lists[t.Service], affinity.Target{
-			Name: t.Name, Zone: t.Zone, Region: region, Slots: t.Slots, Share: 1,
+			Name: t.Name, Zone: t.Zone, Region: region, Slots: t.Slots,
 		})
 		if rooms[t.Service] == nil {
 			rooms[t.Service] = map[string]int{}
@@ -141,7 +143,6 @@
 	}
 	v.tables = map[string]*affinity.Table{}
 	for service, list := range lists {
-		v.limitCold(now, service, list)
 		v.tables[service] = affinity.NewTable(list, affinity.Splits(v.evenDemand(), rooms[service]))
 	}
 	v.built, v.revision, v.stale = now, revision, false
@@ -163,30 +164,3 @@
 	}
 	return !t.Silent || now-t.Heard < silentLimit
 }
-
-// coldUse is the part of the rate that a cold target tolerates that is planned
-// for, since the requests of a second vary.
-const coldUse = 0.5
-
-// limitCold lowers the share of cold targets so that the expected requests of a
-// second stay within what they tolerate.
-func (v *view) limitCold(now time.Duration, service string, list []affinity.Target) {
-	if v.policy == nil || len(list) == 0 {
-		return
-	}
-	s, ok := v.policy.Services[service]
-	if !ok || s.ColdPerSecond <= 0 {
-		return
-	}
-	rate := 0.0
-	for _, d := range v.demand[service] {
-		rate += d
-	}
-	expected := max(rate/float64(len(list)), s.ColdPerSecond)
-	for i := range list {
-		t, found := v.targets.Find(list[i].Name)
-		if found && t.Cold(now) {
-			list[i].Share = min(1, coldUse*s.ColdPerSecond/expected)
-		}
-	}
-}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -192,7 +192,7 @@
 	if reply.Demand != nil {
 		w.view.setDemand(reply.Demand)
 	}
-	w.view.setEntries(reply.Entries)
+	w.view.setPlace(reply.Rank, reply.Entries)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	c.epoch, c.revision, w.demand = reply.Epoch, reply.Revision, reply.DemandNumber
--- a/internal/platformnode/gateway.go
+++ b/internal/platformnode/gateway.go
@@ -35,7 +35,8 @@
 		Name: s.NodeName, Front: s.Listen.Front, Zone: s.Zone, Region: s.Region, Regions: s.Zones, Seeds: s.SeedPeers(),
 		RetryRatio: s.Bound("RetryBudgetRatio", 0.2), RetrySlack: s.Bound("RetryBudgetSlack", 10),
 		RetryWindow: s.BoundTime("BudgetWindowS", 10*time.Second),
-		Codec:       platform.Codec{}, Decode: platform.DecodePolicy, Client: client, Log: l,
+		ColdOverage: s.Bound("ColdOverage", 1), ColdSlack: s.Bound("ColdSlack", 0),
+		Codec: platform.Codec{}, Decode: platform.DecodePolicy, Client: client, Log: l,
 	})
 	front, err := net.Listen("tcp", s.Listen.Front)
 	if err != nil {
--- a/pkg/affinity/table.go
+++ b/pkg/affinity/table.go
@@ -58,8 +58,7 @@
 		}
 		point := unit(mix(object ^ t.seeds[i]))
 		score := -math.Log(point) / float64(target.Slots)
-		takes := target.Share >= 1 || unit(mix(object^t.seeds[i]^shareSalt)) < target.Share
-		list = append(list, ranked{i, takes && target.Region == serving, score})
+		list = append(list, ranked{i, target.Region == serving, score})
 	}
 	slices.SortFunc(list, func(a, b ranked) int {
 		if a.first != b.first {
@@ -110,10 +109,8 @@
 	return last
 }
 
-const (
-	regionSalt = 0x9e3779b97f4a7c15
-	shareSalt  = 0xc2b2ae3d27d4eb4f
-)
+// regionSalt makes the choice of a region independent of that of a target.
+const regionSalt = 0x9e3779b97f4a7c15
 
 // mix spreads the bits of x (the finalizer of SplitMix64).
 func mix(x uint64) uint64 {
