Keep objects on two homes and take nothing late in a stop

Ruled out: too little capacity; warm work fills under half of the slots. Change: an object is served by the first two of its order unless both are doubtful or down; 2.8 s into a stop the listener closes and connections end with their last answer.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,9 +14,10 @@
 )
 
 const (
-	// idleClose is how long after the begin of a stop idle connections are kept:
-	// callers have stopped to use the host by then.
-	idleClose = 3 * time.Second
+	// takeFor is how long after the begin of a stop requests are still taken:
+	// callers have stopped to use the host by then, and what is taken has time
+	// to end.
+	takeFor = 2800 * time.Millisecond
 	// stopCheck is how often a stop looks whether all work has ended.
 	stopCheck    = 50 * time.Millisecond
 	acceptPause  = 10 * time.Millisecond
@@ -39,8 +40,9 @@
 	cold    *coldLimiter
 
 	leaving atomic.Bool
-	mu      sync.Mutex
-	callers map[*caller]bool
+	mu       sync.Mutex
+	callers  map[*caller]bool
+	listener net.Listener
 }
 
 // New returns an entry host; Run starts it.
@@ -76,6 +78,9 @@
 
 // Run serves callers on l until ctx ends.
 func (g *Gateway) Run(ctx context.Context, l net.Listener) {
+	g.mu.Lock()
+	g.listener = l
+	g.mu.Unlock()
 	go g.watch.run(ctx)
 	go g.housekeeping(ctx)
 	for {
@@ -125,10 +130,8 @@
 	g.leaving.Store(true)
 	g.log.Info("stopping", "limit", limit)
 	for time.Since(begin) < limit {
-		if time.Since(begin) > idleClose {
-			if g.closeIdle() == 0 {
-				break
-			}
+		if time.Since(begin) > takeFor && g.takeNoMore() == 0 {
+			break
 		}
 		time.Sleep(stopCheck)
 	}
@@ -137,17 +140,19 @@
 	g.log.Info("stopped", "after", time.Since(begin), "open", len(g.callers))
 }
 
-// closeIdle closes connections without work and returns how many have work.
-func (g *Gateway) closeIdle() int {
+// takeNoMore closes the listener and all connections without work. It returns
+// how many connections have work, which end with the last answer.
+func (g *Gateway) takeNoMore() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.listener != nil {
+		_ = g.listener.Close()
+	}
 	busy := 0
 	for c := range g.callers {
 		c.mu.Lock()
+		c.closing = true
 		idle := c.pending == 0
-		if idle {
-			c.closing = true
-		}
 		c.mu.Unlock()
 		if !idle {
 			busy++
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -15,6 +15,8 @@
 	maxUnrun = 3
 	// refusalPause is how long callers are asked to stay away after a refusal.
 	refusalPause = 300 * time.Millisecond
+	// homes is the number of targets that an object is kept warm on.
+	homes = 2
 	// leastLeft is the least time that is worth another attempt.
 	leastLeft = 20 * time.Millisecond
 )
@@ -90,10 +92,13 @@
 	var best roster.Target
 	var bestEvidence *evidence.Target
 	verdict := evidence.Down + 1
-	for _, candidate := range order {
+	for i, candidate := range order {
 		if d.tried[candidate.Name] {
 			continue
 		}
+		if i >= homes && verdict <= evidence.Full {
+			break // a long queue at a warm target is shorter than cold work elsewhere
+		}
 		t, ok := g.view.targets.Find(candidate.Name)
 		if !ok {
 			continue
