--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -7,9 +7,17 @@
 	"sync"
 )
 
-// bufferedBody bounds the body of a request or answer that is held in memory
-// as a whole; larger ones are passed on as they come.
-const bufferedBody = 64 << 10
+const (
+	// bufferedBody bounds the body of a request that is held in memory as a
+	// whole, so that it can be sent again; larger ones are passed on as they come.
+	bufferedBody = 64 << 10
+	// bufferedAnswer does the same for answers: one that breaks off early can be
+	// replaced by another target's.
+	bufferedAnswer = 16 << 10
+	// bufferedDownload is less, since a download that waits at a slow link for
+	// its own end takes twice as long.
+	bufferedDownload = 2 << 10
+)
 
 var errBodyTooLarge = errors.New("the request body is over the limit")
 
--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -225,14 +225,18 @@
 	response := r.response
 	reply := &reply{status: response.StatusCode, header: passedOn(response.Header), length: response.ContentLength}
 	stop := d.watchCaller(u)
-	head := make([]byte, 0, min(max(response.ContentLength, 512), bufferedBody))
+	limit := bufferedAnswer
+	if d.exchange.route.Kind == policy.Download {
+		limit = bufferedDownload
+	}
+	head := make([]byte, 0, min(int(max(response.ContentLength, 512)), limit))
 	var err error
-	for len(head) < bufferedBody && err == nil {
+	for len(head) < limit && err == nil {
 		if len(head) == cap(head) {
 			head = append(head, 0)[:len(head)]
 		}
 		var n int
-		n, err = response.Body.Read(head[len(head):min(cap(head), bufferedBody)])
+		n, err = response.Body.Read(head[len(head):min(cap(head), limit)])
 		head = head[:len(head)+n]
 	}
 	if err != nil && err != io.EOF {
