--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -35,6 +35,7 @@
 	others  *controlTable
 	direct  *directLog
 	changed *notifier
+	loads   *loadTable
 
 	mu      sync.Mutex
 	group   *replica.Group // nil while the disk refuses
@@ -47,6 +48,7 @@
 		config: c, self: fleet.Control{Peer: c.Peer, Zone: c.Zone, Region: c.Region},
 		epoch: time.Now().UnixNano(), start: time.Now(),
 		targets: roster.New(forgetTargets), entries: newEntryTable(), direct: newDirectLog(), changed: newNotifier(),
+		loads: newLoadTable(),
 	}
 	n.others = newControlTable(n.self, c.Seeds)
 	n.machine = desired.New(n.applied)
@@ -92,6 +94,7 @@
 		for _, name := range n.targets.Forget(n.now()) {
 			n.config.Log.Info("target forgotten", "target", name, "silent", forgetTargets)
 		}
+		n.loads.keep(func(name string) bool { _, ok := n.targets.Find(name); return ok })
 		if n.targets.Revision() != before {
 			n.changed.notify()
 		}
--- a/internal/core/pull.go
+++ b/internal/core/pull.go
@@ -14,6 +14,7 @@
 // pull answers an entry host as soon as there is something that it lacks.
 func (n *Node) pull(ctx context.Context, _ string, req fleet.PullRequest) (fleet.PullReply, error) {
 	n.entries.note(n.now(), 0, req.Entry, true)
+	n.loads.note(n.now(), req.Loads)
 	deadline := time.NewTimer(req.Wait)
 	defer deadline.Stop()
 	fresh := n.fresh()
@@ -48,10 +49,11 @@
 		reply.Orders = &orders
 		news = true
 	}
-	since := req.Revision
+	since, loads := req.Revision, req.LoadNumber
 	if req.Epoch != n.epoch {
-		since = 0
+		since, loads = 0, 0
 	}
+	reply.Averages, reply.LoadNumber = n.loads.since(loads)
 	var changed []roster.Target
 	changed, reply.Revision = n.targets.Since(since)
 	for i := range changed {
--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -196,6 +196,7 @@
 	}
 	if r.answer.Load != nil {
 		e.Loaded(now, *r.answer.Load)
+		d.gateway.loads.note(t.Name, *r.answer.Load)
 	}
 	u.keepAlive = r.answer.KeepAlive
 	a := d.readAnswer(u, t, e, r, complete)
--- /dev/null
+++ b/internal/gateway/delivery_test.go
@@ -0,0 +1,198 @@
+package gateway
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/pkg/policy"
+)
+
+// Guards against wrong answers to callers when a target misbehaves. Each case
+// scripts the first home of the object; the second home answers well.
+func TestFaultyFirstTarget(t *testing.T) {
+	runs := func(status int, body string) func(*fakeTarget, net.Conn, *http.Request) {
+		return func(_ *fakeTarget, conn net.Conn, r *http.Request) { answer(conn, status, r.Header.Get("Id"), body) }
+	}
+	cases := []struct {
+		name   string
+		kind   policy.Kind
+		script func(*fakeTarget, net.Conn, *http.Request)
+		status int
+		second int // requests that the second home may have read
+	}{
+		{"refused work is sent on even if it must not repeat", policy.Unsafe, func(_ *fakeTarget, c net.Conn, r *http.Request) {
+			answer(c, 503, r.Header.Get("Id"), "", "Not-Run: 1")
+		}, 200, 1},
+		{"another instance at the address runs nothing", policy.Unsafe, func(_ *fakeTarget, c net.Conn, r *http.Request) {
+			answer(c, 421, r.Header.Get("Id"), "")
+		}, 200, 1},
+		{"a closed connection leaves unsafe work unknown", policy.Unsafe, func(_ *fakeTarget, c net.Conn, _ *http.Request) { _ = c.Close() }, 502, 0},
+		{"a closed connection lets safe work repeat", policy.Safe, func(_ *fakeTarget, c net.Conn, _ *http.Request) { _ = c.Close() }, 200, 1},
+		{"an answer to another request is not passed on", policy.Unsafe, func(_ *fakeTarget, c net.Conn, _ *http.Request) {
+			answer(c, 200, "other", "wrong")
+			_ = c.Close()
+		}, 502, 0},
+		{"bytes that are no answer are not passed on", policy.Safe, func(_ *fakeTarget, c net.Conn, _ *http.Request) {
+			fmt.Fprint(c, "garbage garbage\r\n\r\n")
+			_ = c.Close()
+		}, 200, 1},
+		{"a truncated answer is replaced", policy.Safe, func(_ *fakeTarget, c net.Conn, r *http.Request) {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 100\r\n\r\nshort", r.Header.Get("Id"))
+			_ = c.Close()
+		}, 200, 1},
+		{"a truncated answer to unsafe work is a failure", policy.Unsafe, func(_ *fakeTarget, c net.Conn, r *http.Request) {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 100\r\n\r\nshort", r.Header.Get("Id"))
+			_ = c.Close()
+		}, 502, 0},
+		{"failed safe work repeats", policy.Safe, runs(500, "failed"), 200, 1},
+		{"failed unsafe work is passed on", policy.Unsafe, runs(500, "failed"), 500, 0},
+		{"a target's plain 503 to unsafe work may have run", policy.Unsafe, runs(503, "busy"), 503, 0},
+		{"a silent target ends at the route's timeout", policy.Unsafe, func(_ *fakeTarget, _ net.Conn, _ *http.Request) {
+			time.Sleep(3 * time.Second)
+		}, 504, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t, ok, ok)
+			order := f.order(c.kind)
+			f.targets[order[0]].script = c.script
+			method, body := "GET", ""
+			if c.kind == policy.Unsafe {
+				method, body = "POST", "x"
+			}
+			r, text := f.do(method, "/"+c.kind.String()+"/1", "i1", body)
+			if r.StatusCode != c.status {
+				t.Errorf("status %d (%s), want %d", r.StatusCode, text, c.status)
+			}
+			if strings.HasPrefix(text, "cut") || strings.Contains(text, "wrong") || strings.Contains(text, "short") {
+				t.Errorf("body %q reached the caller", text)
+			}
+			if n := len(f.targets[order[0]].ids()); n != 1 {
+				t.Errorf("the first target read %d requests, want 1", n)
+			}
+			if n := len(f.targets[order[1]].ids()); n != c.second {
+				t.Errorf("the second target read %d requests, want %d", n, c.second)
+			}
+			if r.Header.Get("Id") != "i1" {
+				t.Errorf("the answer names request %q", r.Header.Get("Id"))
+			}
+		})
+	}
+}
+
+// Guards against taking a second answer for the answer to the next request.
+func TestExtraAnswerIsNotTheNext(t *testing.T) {
+	f := newFixture(t, func(target *fakeTarget, c net.Conn, r *http.Request) {
+		ok(target, c, r)
+		if r.Header.Get("Id") == "i1" {
+			answer(c, 200, "i1", "extra")
+		}
+	})
+	conn, br := f.dial()
+	for i := 1; i <= 4; i++ {
+		id := fmt.Sprint("i", i)
+		fmt.Fprint(conn, request("POST", "/unsafe/1", id, id))
+		r, body := f.read(br)
+		if r.StatusCode != 200 || r.Header.Get("Id") != id || body != "t0:"+id {
+			t.Fatalf("answer to %s: %d %s %q", id, r.StatusCode, r.Header.Get("Id"), body)
+		}
+	}
+	if n := len(f.targets[0].ids()); n != 4 {
+		t.Errorf("the target read %d requests, want 4", n)
+	}
+}
+
+// Guards against sending unsafe work again when a kept connection has died.
+func TestUnsafeOnDeadConnectionRunsOnce(t *testing.T) {
+	closing := func(target *fakeTarget, c net.Conn, r *http.Request) {
+		if r.Header.Get("Id") == "i2" {
+			_ = c.Close() // read, and perhaps run
+			return
+		}
+		ok(target, c, r)
+	}
+	f := newFixture(t, closing, closing)
+	f.do("POST", "/unsafe/1", "i1", "x")
+	r, _ := f.do("POST", "/unsafe/1", "i2", "x")
+	if r.StatusCode != 502 {
+		t.Errorf("status %d, want 502", r.StatusCode)
+	}
+	n := 0
+	for _, target := range f.targets {
+		for _, id := range target.ids() {
+			if id == "i2" {
+				n++
+			}
+		}
+	}
+	if n != 1 {
+		t.Errorf("the request was read %d times, want 1", n)
+	}
+}
+
+// Guards against a refusal after an unknown outcome: refused means not run.
+func TestRefusalOnlyIfNotRun(t *testing.T) {
+	shed := func(_ *fakeTarget, c net.Conn, r *http.Request) { answer(c, 503, r.Header.Get("Id"), "", "Not-Run: 1") }
+	f := newFixture(t, shed, shed)
+	r, _ := f.do("POST", "/unsafe/1", "i1", "x")
+	if r.StatusCode != 503 || r.Header.Get("Retry-After") == "" {
+		t.Errorf("all targets refused: status %d, Retry-After %q", r.StatusCode, r.Header.Get("Retry-After"))
+	}
+	f = newFixture(t, ok, shed)
+	order := f.order(policy.Safe)
+	f.targets[order[0]].script = func(_ *fakeTarget, c net.Conn, _ *http.Request) { _ = c.Close() }
+	f.targets[order[1]].script = shed
+	r, _ = f.do("GET", "/safe/1", "i2", "")
+	if r.StatusCode != 502 {
+		t.Errorf("one attempt may have run: status %d, want 502", r.StatusCode)
+	}
+}
+
+// Guards against work that goes on after its caller has left.
+func TestCallerLeaving(t *testing.T) {
+	ended := make(chan struct{})
+	f := newFixture(t, func(_ *fakeTarget, c net.Conn, _ *http.Request) {
+		buffer := make([]byte, 1)
+		_, _ = c.Read(buffer) // returns when the gateway closes the connection
+		close(ended)
+	})
+	conn, _ := f.dial()
+	fmt.Fprint(conn, request("GET", "/safe/1", "i1", ""))
+	for len(f.targets[0].ids()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	_ = conn.Close()
+	select {
+	case <-ended:
+	case <-time.After(5 * time.Second):
+		t.Error("the target's connection stays open")
+	}
+}
+
+// Guards against giving a target more time than the caller has left.
+func TestTimeLeftShrinks(t *testing.T) {
+	lefts := make(chan string, 2)
+	first := true
+	script := func(target *fakeTarget, c net.Conn, r *http.Request) {
+		lefts <- r.Header.Get("Left")
+		if first {
+			first = false
+			time.Sleep(200 * time.Millisecond)
+			_ = c.Close()
+			return
+		}
+		ok(target, c, r)
+	}
+	f := newFixture(t, script, script)
+	f.do("GET", "/safe/1", "i1", "")
+	var a, b int
+	fmt.Sscan(<-lefts, &a)
+	fmt.Sscan(<-lefts, &b)
+	if a > 1000 || b > a-200 {
+		t.Errorf("time left %d ms, then %d ms", a, b)
+	}
+}
--- /dev/null
+++ b/internal/gateway/fake_test.go
@@ -0,0 +1,209 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/peer"
+	"github.com/hornbeamstack/hornbeamstack/pkg/policy"
+	"github.com/hornbeamstack/hornbeamstack/pkg/roster"
+)
+
+// fakeCodec uses short header names of its own.
+type fakeCodec struct{}
+
+func (fakeCodec) Call(h http.Header) Call {
+	ms, _ := strconv.Atoi(h.Get("Left"))
+	return Call{ID: h.Get("Id"), Object: h.Get("Object"), Left: time.Duration(ms) * time.Millisecond}
+}
+
+func (fakeCodec) Forward(h http.Header, left time.Duration, target string) {
+	h.Set("Left", strconv.FormatInt(left.Milliseconds(), 10))
+	h.Set("Target", target)
+}
+
+func (fakeCodec) Answer(status int, h http.Header) Answer {
+	return Answer{ID: h.Get("Id"), NotExecuted: h.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest}
+}
+
+func (fakeCodec) Refuse(h http.Header, pause time.Duration) { h.Set("Retry-After", fmt.Sprint(pause.Seconds())) }
+func (fakeCodec) Echo(h http.Header, id string)             { h.Set("Id", id) }
+
+// fakeTarget answers each request by a script; it counts the requests it read.
+type fakeTarget struct {
+	name     string
+	listener net.Listener
+	script   func(t *fakeTarget, conn net.Conn, r *http.Request)
+
+	mu   sync.Mutex
+	read []string // ids
+	left chan string
+}
+
+func (t *fakeTarget) ids() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]string(nil), t.read...)
+}
+
+func (t *fakeTarget) serve() {
+	for {
+		conn, err := t.listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer conn.Close()
+			br := bufio.NewReader(conn)
+			for {
+				r, err := http.ReadRequest(br)
+				if err != nil {
+					return
+				}
+				body, err := io.ReadAll(r.Body)
+				if err != nil {
+					return
+				}
+				r.Header.Set("Body", string(body))
+				t.mu.Lock()
+				t.read = append(t.read, r.Header.Get("Id"))
+				t.mu.Unlock()
+				t.script(t, conn, r)
+			}
+		}()
+	}
+}
+
+// ok answers with the name of the target.
+func ok(t *fakeTarget, conn net.Conn, r *http.Request) {
+	answer(conn, 200, r.Header.Get("Id"), t.name+":"+r.Header.Get("Body"))
+}
+
+func answer(conn net.Conn, status int, id, body string, headers ...string) {
+	fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nId: %s\r\nContent-Length: %d\r\n%s\r\n%s", status, id, len(body), join(headers), body)
+}
+
+func join(headers []string) string {
+	var b strings.Builder
+	for _, h := range headers {
+		b.WriteString(h + "\r\n")
+	}
+	return b.String()
+}
+
+// fixture is a gateway with some targets of one service.
+type fixture struct {
+	t       *testing.T
+	gateway *Gateway
+	front   string
+	targets []*fakeTarget
+	cancel  context.CancelFunc
+}
+
+// newFixture starts a gateway with a target for each script. The object "a" has
+// the targets in the order that the table gives.
+func newFixture(t *testing.T, scripts ...func(*fakeTarget, net.Conn, *http.Request)) *fixture {
+	t.Helper()
+	g := New(Config{
+		Name: "g1", Zone: "z1", Region: "r1", Regions: map[string]string{"z1": "r1", "z2": "r2"},
+		RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second, ColdOverage: 1.5, ColdSlack: 5,
+		Codec: fakeCodec{}, Client: peer.NewClient("g1"), Log: log.New(io.Discard),
+	})
+	p := &policy.Policy{Version: 1, Services: map[string]policy.Service{"s": {Name: "s", ColdPerSecond: 3}}}
+	p.Limits = policy.Limits{HeaderBytes: 4096, BodyBytes: 1 << 20, HeaderTimeout: time.Second, IdleTimeout: 5 * time.Second}
+	for _, k := range []policy.Kind{policy.Safe, policy.Unsafe, policy.Download} {
+		p.Routes = append(p.Routes, policy.Route{Name: k.String(), Host: "h", Prefix: "/" + k.String() + "/", Kind: k, Sticky: true,
+			Shares: []policy.Share{{Service: "s", Weight: 1}}, Timeout: time.Second, MaxAttempts: 2})
+	}
+	p.Index()
+	g.view.setPolicy(p)
+	f := &fixture{t: t, gateway: g}
+	for i, script := range scripts {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		target := &fakeTarget{name: fmt.Sprint("t", i), listener: l, script: script, left: make(chan string, 10)}
+		go target.serve()
+		f.targets = append(f.targets, target)
+		g.view.targets.Note(g.now(), roster.Report{Announcement: roster.Announcement{
+			Name: target.name, Life: 1, Sequence: 1, Service: "s", Address: l.Addr().String(), Zone: "z1", Slots: 4}})
+		t.Cleanup(func() { _ = l.Close() })
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	f.front, f.cancel = l.Addr().String(), cancel
+	go g.Run(ctx, l)
+	t.Cleanup(func() { cancel(); _ = l.Close() })
+	return f
+}
+
+// dial opens a connection to the gateway.
+func (f *fixture) dial() (net.Conn, *bufio.Reader) {
+	f.t.Helper()
+	conn, err := net.Dial("tcp", f.front)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { _ = conn.Close() })
+	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+	return conn, bufio.NewReader(conn)
+}
+
+func request(method, path, id, body string, headers ...string) string {
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h\r\nId: %s\r\nObject: a\r\nLeft: 5000\r\nContent-Length: %d\r\n%s\r\n%s",
+		method, path, id, len(body), join(headers), body)
+}
+
+// do sends one request on a new connection.
+func (f *fixture) do(method, path, id, body string) (*http.Response, string) {
+	f.t.Helper()
+	conn, br := f.dial()
+	fmt.Fprint(conn, request(method, path, id, body))
+	return f.read(br)
+}
+
+func (f *fixture) read(br *bufio.Reader) (*http.Response, string) {
+	f.t.Helper()
+	r, err := http.ReadResponse(br, nil)
+	if err != nil {
+		f.t.Fatalf("no answer: %v", err)
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return r, "cut: " + string(body)
+	}
+	return r, string(body)
+}
+
+// order returns the indexes of the targets in the order of object "a" on a route.
+func (f *fixture) order(kind policy.Kind) []int {
+	f.t.Helper()
+	d := &delivery{gateway: f.gateway, service: "s", policy: f.gateway.view.current(), tried: map[string]bool{}}
+	d.exchange = &exchange{call: Call{Object: "a"}, route: d.policy.Match("h", "/"+kind.String()+"/")}
+	var list []int
+	for {
+		t, _, found := f.gateway.choose(d)
+		if !found {
+			return list
+		}
+		d.tried[t.Name] = true
+		i, _ := strconv.Atoi(t.Name[1:])
+		list = append(list, i)
+	}
+}
+
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/hornbeamstack/hornbeamstack/internal/fleet"
+	"github.com/hornbeamstack/hornbeamstack/pkg/affinity"
 	"github.com/hornbeamstack/hornbeamstack/pkg/evidence"
 )
 
@@ -38,8 +39,10 @@
 	rates   *rates
 	splits  *splitters
 	cold    *coldLimiter
+	loads   *loads
+	balance *affinity.Balance
 
-	leaving atomic.Bool
+	leaving  atomic.Bool
 	mu       sync.Mutex
 	callers  map[*caller]bool
 	listener net.Listener
@@ -48,9 +51,10 @@
 // New returns an entry host; Run starts it.
 func New(c Config) *Gateway {
 	g := &Gateway{config: c, log: c.Log, start: time.Now(), started: time.Now().UnixNano(),
-		board: evidence.NewBoard(), callers: map[*caller]bool{}, rates: newRates(), splits: newSplitters()}
+		board: evidence.NewBoard(), callers: map[*caller]bool{}, rates: newRates(), splits: newSplitters(),
+		loads: newLoads(), balance: affinity.NewBalance()}
 	g.view = newView(&g.config)
-	g.watch = newWatch(&g.config, g.view, g.now, g.self)
+	g.watch = newWatch(&g.config, g.view, g.now, g.self, g.loads)
 	g.pool = newPool(c.Codec, g.now)
 	g.budgets = newBudgets(&g.config)
 	g.cold = newColdLimiter(&g.config, g.view)
@@ -116,6 +120,7 @@
 		case <-ticker.C:
 		}
 		g.rates.step(rateInterval)
+		g.balance.Step(rateInterval, g.loads.all(func(name string) bool { _, ok := g.view.targets.Find(name); return ok }))
 		g.board.Keep(func(k evidence.Key) bool {
 			t, ok := g.view.targets.Find(k.Name)
 			return ok && int64(t.Life) == k.Life
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -88,7 +88,11 @@
 	if key == "" || !d.exchange.route.Sticky {
 		key = d.exchange.call.ID
 	}
-	order := table.Order(g.config.Region, affinity.Object(d.service+d.exchange.route.Prefix, key), d.exchange.route.Allows)
+	object := affinity.Object(d.service+d.exchange.route.Prefix, key)
+	order := table.Order(g.config.Region, object, d.exchange.route.Allows)
+	if len(order) >= homes && order[0].Region == order[1].Region && g.balance.Moves(object, order[0].Name, order[1].Name) {
+		order[0], order[1] = order[1], order[0]
+	}
 	var best roster.Target
 	var bestEvidence *evidence.Target
 	verdict := evidence.Down + 1
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -30,6 +30,7 @@
 	epoch    int64
 	revision uint64
 	watched  bool
+	loads    uint64        // number of the load averages held
 	shunned  time.Duration // not to be used before
 }
 
@@ -39,7 +40,7 @@
 	view   *view
 	now    func() time.Duration
 	self   func() fleet.Entry
-	onNews func()
+	loads  *loads
 
 	mu       sync.Mutex
 	controls map[string]*controlState
@@ -48,8 +49,8 @@
 	fresh    time.Duration // last reply of a control host in contact with a majority
 }
 
-func newWatch(c *Config, v *view, now func() time.Duration, self func() fleet.Entry) *watch {
-	w := &watch{config: c, view: v, now: now, self: self, controls: map[string]*controlState{}}
+func newWatch(c *Config, v *view, now func() time.Duration, self func() fleet.Entry, l *loads) *watch {
+	w := &watch{config: c, view: v, now: now, self: self, loads: l, controls: map[string]*controlState{}}
 	w.setSeeds(c.Seeds)
 	return w
 }
@@ -137,6 +138,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	c.watched = false
+	w.loads.leave(c.control.Peer)
 }
 
 // pull asks a control host for news. It reports whether to go on with it.
@@ -145,7 +147,7 @@
 	self := w.self()
 	w.mu.Lock()
 	req := fleet.PullRequest{Entry: self, Version: version, Orders: orders, Epoch: c.epoch, Revision: c.revision,
-		Controls: w.digest, Demand: w.demand, Wait: pullWait}
+		Controls: w.digest, Demand: w.demand, Wait: pullWait, Loads: w.loads.take(c.control.Peer), LoadNumber: c.loads}
 	address := c.control.Peer
 	w.mu.Unlock()
 	call, cancel := context.WithTimeout(ctx, pullTimeout)
@@ -192,9 +194,11 @@
 	if reply.Demand != nil {
 		w.view.setDemand(reply.Demand)
 	}
+	w.loads.learn(reply.Averages)
 	w.view.setPlace(reply.Rank, reply.Entries)
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	c.loads = reply.LoadNumber
 	c.epoch, c.revision, w.demand = reply.Epoch, reply.Revision, reply.DemandNumber
 	if reply.Fresh {
 		w.fresh = now
