--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,225 @@
+package core
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/desired"
+	"github.com/hornbeamstack/hornbeamstack/internal/fleet"
+	"github.com/hornbeamstack/hornbeamstack/internal/peer"
+	"github.com/hornbeamstack/hornbeamstack/pkg/policy"
+	"github.com/hornbeamstack/hornbeamstack/pkg/roster"
+)
+
+// host is a control host of the test at a loopback address of its own.
+type host struct {
+	ip     string
+	folder string
+	node   *Node
+	client *peer.Client
+	stop   context.CancelFunc
+}
+
+// start runs the control host on its folder; found is true for a new deployment.
+func (h *host) start(t *testing.T, seeds []string, found bool) {
+	t.Helper()
+	address := h.ip + ":19461"
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	server := peer.NewServer(h.ip)
+	h.client = peer.NewClient(h.ip)
+	h.client.Bind(net.ParseIP(h.ip))
+	h.node = Start(ctx, Config{
+		Name: h.ip, Peer: address, Zone: "z" + h.ip, Region: "r", Folder: h.folder, Seeds: seeds, Found: found,
+		Heartbeat: time.Second, Server: server, Client: h.client, Log: log.New(io.Discard),
+	})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = server.Serve(ctx, listener) // it ends with ctx
+	}()
+	h.stop = func() {
+		cancel()
+		<-done
+		for h.node.currentGroup() != nil {
+			time.Sleep(time.Millisecond)
+		}
+		h.client.Close()
+	}
+}
+
+type cluster struct {
+	t     *testing.T
+	hosts []*host
+	seeds []string
+}
+
+func newCluster(t *testing.T, n int) *cluster {
+	c := &cluster{t: t}
+	for i := range n {
+		h := &host{ip: fmt.Sprintf("127.77.3.%d", i+1), folder: t.TempDir()}
+		c.hosts = append(c.hosts, h)
+		if i < 3 {
+			c.seeds = append(c.seeds, h.ip+":19461")
+		}
+	}
+	for _, h := range c.hosts {
+		h.start(t, c.seeds, true)
+	}
+	t.Cleanup(func() {
+		for _, h := range c.hosts {
+			h.stop()
+		}
+	})
+	return c
+}
+
+// eventually waits for a condition; the test's time limit ends a wait without end.
+func eventually(condition func() bool) {
+	for !condition() {
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func (c *cluster) voters(i int) int {
+	g := c.hosts[i].node.currentGroup()
+	if g == nil {
+		return 0
+	}
+	n := 0
+	for _, m := range g.Status().Members {
+		if m.Voter {
+			n++
+		}
+	}
+	return n
+}
+
+func (c *cluster) put(i int, v policy.Version) {
+	c.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	if err := c.hosts[i].node.Submit(ctx, desired.Command{Document: &desired.Document{Version: v, Body: []byte(fmt.Sprint(v))}}); err != nil {
+		c.t.Fatalf("put %d at host %d: %v", v, i, err)
+	}
+}
+
+// read reads at a host, again while it answers that it cannot.
+func (c *cluster) read(i int) policy.Version {
+	var v policy.Version
+	eventually(func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		s, err := c.hosts[i].node.Current(ctx)
+		v = s.Document.Version
+		return err == nil
+	})
+	return v
+}
+
+// Guards against a group that stays with its seeds, loses what it accepted with
+// a disk, or counts a host that lost its disk before it has copied.
+func TestGroupGrowsAndSurvivesALostDisk(t *testing.T) {
+	c := newCluster(t, 5)
+	eventually(func() bool { return c.voters(0) == 5 })
+	c.put(3, 7)
+	for i := range c.hosts {
+		if v := c.read(i); v != 7 {
+			t.Errorf("host %d reads version %d", i, v)
+		}
+	}
+	c.hosts[1].stop()
+	c.hosts[1].folder = t.TempDir()
+	c.hosts[1].start(t, c.seeds, false)
+	c.put(4, 9)
+	if v := c.read(1); v != 9 {
+		t.Errorf("the host that lost its disk reads version %d", v)
+	}
+	eventually(func() bool { return c.voters(1) == 5 })
+}
+
+// Guards against accepted state that is gone after all hosts were killed, and
+// against a host without a history that founds a second group.
+func TestRestartOfAll(t *testing.T) {
+	c := newCluster(t, 3)
+	c.put(0, 3)
+	for _, h := range c.hosts {
+		h.stop()
+	}
+	c.hosts[2].folder = t.TempDir()
+	for _, h := range c.hosts {
+		h.start(t, c.seeds, false)
+	}
+	for i := range c.hosts {
+		if v := c.read(i); v != 3 {
+			t.Errorf("host %d reads version %d", i, v)
+		}
+	}
+}
+
+// Guards against acknowledgements and reads by a host that is cut off.
+func TestMinorityAcceptsNothing(t *testing.T) {
+	c := newCluster(t, 3)
+	c.put(0, 3)
+	c.hosts[0].stop()
+	c.hosts[1].stop()
+	ctx, cancel := context.WithTimeout(context.Background(), 2500*time.Millisecond)
+	defer cancel()
+	if err := c.hosts[2].node.Submit(ctx, desired.Command{Evacuate: "z"}); err == nil {
+		t.Error("an order was accepted")
+	}
+	if _, err := c.hosts[2].node.Current(ctx); err == nil {
+		t.Error("a read was answered")
+	}
+	if err := c.hosts[2].node.Announce(context.Background(), roster.Announcement{Name: "t"}); err == nil {
+		t.Error("a heartbeat was acknowledged")
+	}
+	c.hosts[0].start(t, c.seeds, false)
+	c.hosts[1].start(t, c.seeds, false)
+}
+
+// Guards against entry hosts that miss what another control host was told.
+func TestNewsReachEntryHostsOfOtherControlHosts(t *testing.T) {
+	c := newCluster(t, 3)
+	c.put(0, 3)
+	announcement := roster.Announcement{Name: "t", Life: 5, Sequence: 1, Service: "s", Address: "a:1", Zone: "z", Slots: 2}
+	eventually(func() bool { return c.hosts[0].node.Announce(context.Background(), announcement) == nil })
+	entry := fleet.Entry{Name: "e", Front: "f:1", Zone: "z", Region: "r", Ready: true, Started: 1, Rates: map[string]float64{"s": 2}}
+	req := fleet.PullRequest{Entry: entry, Wait: 100 * time.Millisecond}
+	known := map[string]bool{}
+	pull := func() fleet.PullReply {
+		reply, err := c.hosts[1].node.pull(context.Background(), "", req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Epoch, req.Revision, req.Demand = reply.Epoch, reply.Revision, reply.DemandNumber
+		if reply.Document != nil {
+			req.Version = reply.Document.Version
+		}
+		for _, r := range reply.Targets {
+			known[r.Name] = !r.Leaving
+		}
+		if reply.Orders != nil {
+			req.Orders = reply.Index
+		}
+		return reply
+	}
+	eventually(func() bool { pull(); return req.Version == 3 && known["t"] })
+	if err := c.hosts[2].node.Leave(context.Background(), "t"); err != nil {
+		t.Fatal(err)
+	}
+	eventually(func() bool { reply := pull(); return reply.Orders != nil || !known["t"] })
+	eventually(func() bool { return len(c.hosts[2].node.EntriesFor("r", "z")) == 1 || pull().Entries < 0 })
+	if fronts := c.hosts[2].node.EntriesFor("r", "elsewhere"); len(fronts) != 1 || fronts[0] != "f:1" {
+		t.Errorf("callers of the region are sent to %v", fronts)
+	}
+}
--- /dev/null
+++ b/internal/desired/machine_test.go
@@ -0,0 +1,117 @@
+package desired
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/hornbeamstack/hornbeamstack/pkg/policy"
+)
+
+func apply(t *testing.T, m *Machine, index uint64, c Command) {
+	t.Helper()
+	data, err := c.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.Apply(index, data)
+}
+
+func document(v policy.Version, body string) Command {
+	return Command{Document: &Document{Version: v, Body: []byte(body)}}
+}
+
+// Guards against a lower or equal version that replaces what is in force.
+func TestHighestVersionIsInForce(t *testing.T) {
+	m := New(nil)
+	apply(t, m, 1, document(4, "four"))
+	apply(t, m, 2, document(2, "two"))
+	apply(t, m, 3, document(4, "other"))
+	if s, _ := m.State(); s.Document.Version != 4 || string(s.Document.Body) != "four" {
+		t.Errorf("in force: %d %q", s.Document.Version, s.Document.Body)
+	}
+	apply(t, m, 4, document(9, "nine"))
+	if s, _ := m.State(); string(s.Document.Body) != "nine" || s.Index != 4 {
+		t.Errorf("in force: %q as of %d", s.Document.Body, s.Index)
+	}
+}
+
+// Guards against orders that a restarted group applies a second time.
+func TestReplayChangesNothing(t *testing.T) {
+	m := New(nil)
+	orders := []Command{{Evacuate: "b"}, {Evacuate: "a"}, {Evacuate: "b"}, {Readmit: "b"}, {Departure: &Departure{Name: "t", Life: 2}}}
+	for i, c := range orders {
+		apply(t, m, uint64(i+1), c)
+	}
+	want, _ := m.State()
+	if !slices.Equal(want.Orders.Evacuated, []string{"a"}) || !want.Left(Departure{Name: "t", Life: 1}) || want.Left(Departure{Name: "t", Life: 3}) {
+		t.Fatalf("state %+v", want)
+	}
+	for i, c := range orders {
+		apply(t, m, uint64(i+1), c)
+		if s, _ := m.State(); s.Index != want.Index || s.IsEvacuated("b") {
+			t.Fatalf("entry %d was applied again: %+v", i+1, s)
+		}
+	}
+}
+
+// Guards against state that does not survive a snapshot, and against an old
+// snapshot that takes newer state back.
+func TestSnapshot(t *testing.T) {
+	m := New(nil)
+	apply(t, m, 1, document(1, "one"))
+	apply(t, m, 2, Command{Evacuate: "a"})
+	old := m.Snapshot()
+	apply(t, m, 3, Command{Departure: &Departure{Name: "t", Life: 7}})
+	heard := 0
+	fresh := New(func(Command) { heard++ })
+	if err := fresh.Restore(m.Snapshot()); err != nil {
+		t.Fatal(err)
+	}
+	s, _ := fresh.State()
+	if s.Document.Version != 1 || !s.IsEvacuated("a") || !s.Left(Departure{Name: "t", Life: 7}) || heard != 1 {
+		t.Errorf("restored %+v, %d departures told", s, heard)
+	}
+	if err := fresh.Restore(old); err != nil {
+		t.Fatal(err)
+	}
+	if s, _ := fresh.State(); !s.Left(Departure{Name: "t", Life: 7}) {
+		t.Error("an older snapshot took a departure back")
+	}
+	if err := fresh.Restore([]byte("x")); err == nil {
+		t.Error("a snapshot that cannot be read is accepted")
+	}
+}
+
+// Guards against orders that an entry host misses or gets twice.
+func TestOrdersSince(t *testing.T) {
+	m := New(nil)
+	apply(t, m, 1, Command{Departure: &Departure{Name: "a", Life: 1}})
+	apply(t, m, 2, document(1, "one"))
+	apply(t, m, 3, Command{Departure: &Departure{Name: "b", Life: 1}})
+	s, _ := m.State()
+	if s.OrdersIndex != 3 {
+		t.Errorf("orders are as of %d", s.OrdersIndex)
+	}
+	if o := s.OrdersSince(1); len(o.Departures) != 1 || o.Departures[0].Name != "b" {
+		t.Errorf("since 1: %+v", o)
+	}
+}
+
+// Guards against waiters that miss a change.
+func TestChangesAreSignalled(t *testing.T) {
+	m := New(nil)
+	_, changed := m.State()
+	apply(t, m, 1, Command{Evacuate: "a"})
+	select {
+	case <-changed:
+	default:
+		t.Error("the change is not signalled")
+	}
+	_, changed = m.State()
+	apply(t, m, 2, Command{Evacuate: "a"})
+	select {
+	case <-changed:
+		t.Error("a repeat is signalled as a change")
+	default:
+	}
+}
--- a/internal/gateway/delivery_test.go
+++ b/internal/gateway/delivery_test.go
@@ -196,3 +196,34 @@
 		t.Errorf("time left %d ms, then %d ms", a, b)
 	}
 }
+
+// Guards against downloads that fill the queue of a slow link.
+func TestDownloadsAreBoundedByTheLink(t *testing.T) {
+	if n := cap(newDownloads(1.4e6 / 8).slots); n != 2 {
+		t.Errorf("%d downloads at once on 1.4 Mbit/s, want 2", n)
+	}
+	if n := cap(newDownloads(700e6 / 8).slots); n != maxDownloads {
+		t.Errorf("%d downloads at once on 700 Mbit/s, want %d", n, maxDownloads)
+	}
+	release := make(chan struct{})
+	f := newFixture(t, func(target *fakeTarget, c net.Conn, r *http.Request) {
+		<-release
+		ok(target, c, r)
+	})
+	f.gateway.large = newDownloads(1)
+	conn, br := f.dial()
+	fmt.Fprint(conn, request("GET", "/download/1", "i1", ""))
+	for len(f.targets[0].ids()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if r, _ := f.do("GET", "/download/2", "i2", ""); r.StatusCode != 503 {
+		t.Errorf("a second download was answered %d, want 503", r.StatusCode)
+	}
+	close(release)
+	if r, _ := f.read(br); r.StatusCode != 200 {
+		t.Errorf("the first download was answered %d", r.StatusCode)
+	}
+	if r, _ := f.do("GET", "/download/3", "i3", ""); r.StatusCode != 200 {
+		t.Errorf("a download after the first was answered %d", r.StatusCode)
+	}
+}
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -37,8 +37,10 @@
 	return Answer{ID: h.Get("Id"), NotExecuted: h.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest}
 }
 
-func (fakeCodec) Refuse(h http.Header, pause time.Duration) { h.Set("Retry-After", fmt.Sprint(pause.Seconds())) }
-func (fakeCodec) Echo(h http.Header, id string)             { h.Set("Id", id) }
+func (fakeCodec) Refuse(h http.Header, pause time.Duration) {
+	h.Set("Retry-After", fmt.Sprint(pause.Seconds()))
+}
+func (fakeCodec) Echo(h http.Header, id string) { h.Set("Id", id) }
 
 // fakeTarget answers each request by a script; it counts the requests it read.
 type fakeTarget struct {
@@ -206,4 +208,3 @@
 		list = append(list, i)
 	}
 }
-
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -41,6 +41,7 @@
 	cold    *coldLimiter
 	loads   *loads
 	balance *affinity.Balance
+	large   *downloads
 
 	leaving  atomic.Bool
 	mu       sync.Mutex
@@ -53,6 +54,7 @@
 	g := &Gateway{config: c, log: c.Log, start: time.Now(), started: time.Now().UnixNano(),
 		board: evidence.NewBoard(), callers: map[*caller]bool{}, rates: newRates(), splits: newSplitters(),
 		loads: newLoads(), balance: affinity.NewBalance()}
+	g.large = newDownloads(c.LinkRate)
 	g.view = newView(&g.config)
 	g.watch = newWatch(&g.config, g.view, g.now, g.self, g.loads)
 	g.pool = newPool(c.Codec, g.now)
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -6,6 +6,7 @@
 
 	"github.com/hornbeamstack/hornbeamstack/pkg/affinity"
 	"github.com/hornbeamstack/hornbeamstack/pkg/evidence"
+	"github.com/hornbeamstack/hornbeamstack/pkg/policy"
 	"github.com/hornbeamstack/hornbeamstack/pkg/roster"
 )
 
@@ -57,7 +58,21 @@
 	if x.call.Left > 0 {
 		d.deadline = min(d.deadline, x.received+x.call.Left)
 	}
-	return d.run()
+	if x.route.Kind != policy.Download {
+		return d.run()
+	}
+	if !g.large.begin(x.ctx, (d.deadline-g.now())/2) {
+		return g.refuse(x, "the link is busy with other downloads")
+	}
+	r := d.run()
+	finish := r.finish
+	r.finish = func(sent bool) {
+		g.large.end()
+		if finish != nil {
+			finish(sent)
+		}
+	}
+	return r
 }
 
 // refuse says that the request was not run and may be sent again.
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -17,11 +17,14 @@
 	watchers = 2
 	// pullWait is how long a control host holds a pull that brings no news.
 	pullWait = 400 * time.Millisecond
-	// pullTimeout bounds a pull; the control host is given up then.
-	pullTimeout = 1200 * time.Millisecond
-	// shunTime is how long a control host that failed is not watched.
-	shunTime  = 3 * time.Second
-	idlePause = 100 * time.Millisecond
+	// pullTimeout bounds a pull; the control host is given up then. A slow link
+	// delays answers by more than a second.
+	pullTimeout = 2 * time.Second
+	// silentShun is how long a control host that did not answer is not watched,
+	// activeShun one that answered that it cannot help, or refused the connection.
+	silentShun = 3 * time.Second
+	activeShun = 400 * time.Millisecond
+	idlePause  = 100 * time.Millisecond
 )
 
 // controlState is what the watch knows of one control host.
@@ -155,20 +158,24 @@
 	reply, err := peer.Call[fleet.PullRequest, fleet.PullReply](call, w.config.Client, address, fleet.MethodPull, req)
 	if err != nil {
 		if ctx.Err() == nil {
-			w.shun(c, "unreachable", err)
+			shun := silentShun
+			if peer.IsRefused(err) {
+				shun = activeShun
+			}
+			w.shun(c, shun, "unreachable", err)
 		}
 		return false
 	}
 	w.learn(c, &reply)
 	if !reply.Fresh {
-		w.shun(c, "not in contact with a majority", nil)
+		w.shun(c, activeShun, "not in contact with a majority", nil)
 	}
 	return reply.Fresh
 }
 
-func (w *watch) shun(c *controlState, reason string, err error) {
+func (w *watch) shun(c *controlState, during time.Duration, reason string, err error) {
 	w.mu.Lock()
-	c.shunned = w.now() + shunTime
+	c.shunned = w.now() + during
 	address := c.control.Peer
 	w.mu.Unlock()
 	w.config.Log.Warn("control host given up", "control", address, "reason", reason, "err", err)
--- /dev/null
+++ b/pkg/roster/roster_test.go
@@ -0,0 +1,133 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func announcement(name string, life Life, sequence uint64) Report {
+	return Report{Announcement: Announcement{Name: name, Life: life, Sequence: sequence, Service: "s", Address: "a-" + name, Zone: "z", Slots: 1}}
+}
+
+func leaving(r Report) Report { r.Leaving = true; return r }
+
+// Guards against announcements that arrive late or out of order.
+func TestOrderOfAnnouncements(t *testing.T) {
+	cases := []struct {
+		name    string
+		reports []Report
+		life    Life
+		leaving bool
+	}{
+		{"a lower sequence changes nothing", []Report{announcement("t", 1, 5), leaving(announcement("t", 1, 4))}, 1, false},
+		{"leaving stays within a life", []Report{leaving(announcement("t", 1, 5)), announcement("t", 1, 6)}, 1, true},
+		{"a later life is usable again", []Report{leaving(announcement("t", 1, 5)), announcement("t", 2, 1)}, 2, false},
+		{"an earlier life changes nothing", []Report{announcement("t", 2, 1), leaving(announcement("t", 1, 9))}, 2, false},
+	}
+	for _, c := range cases {
+		r := New(time.Minute)
+		for _, report := range c.reports {
+			r.Note(time.Second, report)
+		}
+		if got, _ := r.Find("t"); got.Life != c.life || got.Leaving != c.leaving {
+			t.Errorf("%s: life %d, leaving %v", c.name, got.Life, got.Leaving)
+		}
+	}
+}
+
+// Guards against a departure that is lost because it arrives before the announcement.
+func TestDepartureBeforeAnnouncement(t *testing.T) {
+	r := New(time.Minute)
+	r.Leave("t", 3)
+	r.Note(0, announcement("t", 3, 1))
+	if got, _ := r.Find("t"); !got.Leaving {
+		t.Error("the life that left is usable")
+	}
+	r.Note(0, announcement("t", 4, 1))
+	if got, _ := r.Find("t"); got.Leaving {
+		t.Error("the next life is not usable")
+	}
+}
+
+// Guards against requests to the earlier holder of an address.
+func TestAddressBelongsToTheLaterLife(t *testing.T) {
+	old, taker := announcement("old", 1, 1), announcement("new", 2, 1)
+	taker.Address = old.Address
+	for _, order := range [][]Report{{old, taker}, {taker, old}} {
+		r := New(time.Minute)
+		for _, report := range order {
+			r.Note(0, report)
+		}
+		gone, _ := r.Find("old")
+		current, _ := r.Find("new")
+		if !gone.Leaving || current.Leaving {
+			t.Errorf("old leaving %v, new leaving %v", gone.Leaving, current.Leaving)
+		}
+	}
+}
+
+// Guards against repeats that look like news, and news that look like repeats.
+func TestRevisions(t *testing.T) {
+	r := New(time.Minute)
+	report := announcement("t", 1, 1)
+	report.ColdFor = 3 * time.Second
+	if !r.Note(0, report) {
+		t.Error("a new target is no news")
+	}
+	report.Sequence, report.ColdFor = 2, 1500*time.Millisecond
+	if r.Note(1500*time.Millisecond, report) {
+		t.Error("the same end of a cold period is news")
+	}
+	report.Sequence, report.ColdFor = 3, 3*time.Second
+	if !r.Note(3*time.Second, report) {
+		t.Error("a new cold period is no news")
+	}
+	before := r.Revision()
+	r.Sweep(10*time.Second, 5*time.Second)
+	if list, _ := r.Since(before); len(list) != 1 || !list[0].Silent {
+		t.Errorf("a silent target is not told: %v", list)
+	}
+	report.Sequence = 4
+	if !r.Note(11*time.Second, report) {
+		t.Error("the end of a silence is no news")
+	}
+	if names := r.Forget(80 * time.Second); len(names) != 1 {
+		t.Errorf("forgotten %v", names)
+	}
+}
+
+// Guards against hosts that disagree because they heard the same in other orders.
+func TestRostersConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		type step struct {
+			report Report
+			depart bool
+		}
+		steps := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
+			s := step{report: announcement(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "name"), Life(rapid.IntRange(1, 3).Draw(t, "life")),
+				uint64(rapid.IntRange(1, 4).Draw(t, "sequence")))}
+			s.depart = rapid.Bool().Draw(t, "depart")
+			return s
+		}), 1, 12).Draw(t, "steps")
+		order := rapid.Permutation(steps).Draw(t, "order")
+		one, two := New(time.Minute), New(time.Minute)
+		for i := range steps {
+			for r, s := range map[*Roster]step{one: steps[i], two: order[i]} {
+				if s.depart {
+					r.Leave(s.report.Name, s.report.Life)
+				} else {
+					r.Note(0, s.report)
+				}
+			}
+		}
+		for _, name := range []string{"a", "b"} {
+			x, foundX := one.Find(name)
+			y, foundY := two.Find(name)
+			if foundX != foundY || x.Life != y.Life || x.Leaving != y.Leaving || x.Sequence != y.Sequence {
+				t.Fatalf("%s: %+v and %+v", name, x, y)
+			}
+		}
+	})
+}
