--- a/pkg/agree/sim_test.go
+++ b/pkg/agree/sim_test.go
@@ -63,14 +63,21 @@
 	lives   int
 	readID  uint64
 
+	open   bool          // servers that the membership does not hold may join
+	silent time.Duration // after which the leader removes a member
+
 	committed []Entry  // the one history, index 1 first
 	terms     []uint64 // in which each entry was seen committed first
 	leaders   map[uint64]ID
 	problem   string
 }
 
-func newSim(seed uint64, n int) *sim {
-	s := &sim{rand: rand.New(rand.NewPCG(seed, 1)), leaders: map[uint64]ID{}, now: time.Hour}
+func newSim(seed uint64, n int) *sim { return foundSim(seed, n, n, 0) }
+
+// foundSim runs n servers, of which the first founders start the history. With
+// a silence after which members are removed, the others may join.
+func foundSim(seed uint64, n, founders int, silent time.Duration) *sim {
+	s := &sim{rand: rand.New(rand.NewPCG(seed, 1)), leaders: map[uint64]ID{}, now: time.Hour, open: silent > 0, silent: silent}
 	for i := range n {
 		s.servers = append(s.servers, &server{id: ID{Name: fmt.Sprint("s", i)}})
 		s.renew(s.servers[i])
@@ -79,6 +86,7 @@
 	for _, v := range s.servers {
 		members = append(members, Server{ID: v.id, Voter: true})
 	}
+	members = members[:founders]
 	if err := s.servers[0].node.Found(members); err != nil {
 		panic(err)
 	}
@@ -101,7 +109,7 @@
 	v.applied, v.value = v.disk.snapshot.Index, string(v.disk.snapshot.Data)
 	v.reads = map[uint64]uint64{}
 	v.node = New(Options{Self: v.id, State: v.disk.state, Snapshot: v.disk.snapshot,
-		Entries: slices.Clone(v.disk.entries), Random: s.rand.Int64N}, s.clock(v))
+		Entries: slices.Clone(v.disk.entries), Random: s.rand.Int64N, Open: s.open, SilentAfter: s.silent}, s.clock(v))
 }
 
 func (s *sim) stop(v *server) { v.node, v.reads = nil, nil }
@@ -270,7 +278,12 @@
 
 // join asks for admission as the runner does.
 func (s *sim) join(v *server) {
-	if v.node == nil || v.isolated || v.node.Status().Admitted || s.rand.IntN(10) > 0 {
+	if v.node == nil || v.isolated || s.rand.IntN(10) > 0 {
+		return
+	}
+	status := v.node.Status()
+	lost := s.open && status.Role != Leader && s.clock(v)-status.HeardLeader > 2*time.Second
+	if status.Admitted && !lost {
 		return
 	}
 	for _, other := range s.servers {
