Structured logs and metrics of the platform's processes

Change: lines for accepted and answered requests of one in eight request ids, chosen alike by all processes; failures within a rate, omitted ones counted; core lines for members, contact, targets, entry hosts and orders.

--- a/internal/core/announce.go
+++ b/internal/core/announce.go
@@ -16,6 +16,7 @@
 // Announce takes what a target says of itself. It returns once every entry
 // host is bound by it: a departure is part of the desired state by then.
 func (n *Node) Announce(ctx context.Context, a roster.Announcement) error {
+	n.count("announcements")
 	now := n.now()
 	fresh := n.fresh()
 	leaving := a.Leaving
--- a/internal/core/entries.go
+++ b/internal/core/entries.go
@@ -19,6 +19,7 @@
 	heard time.Duration
 	// direct is when the entry host itself called, zero if it did not.
 	direct time.Duration
+	logged string // state as last logged
 }
 
 // entryTable holds the entry hosts that this host has heard of.
@@ -51,6 +52,33 @@
 	return changed
 }
 
+// entryChange is a change of what this host believes of an entry host.
+type entryChange struct {
+	name, zone, state string
+	silent            time.Duration
+}
+
+// changes returns the entry hosts that became usable, stopped or fell silent
+// since the last call.
+func (t *entryTable) changes(now time.Duration) []entryChange {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []entryChange
+	for name, r := range t.records {
+		state := "not ready"
+		if now-r.heard > entryLive {
+			state = "silent"
+		} else if r.entry.Ready {
+			state = "ready"
+		}
+		if state != r.logged {
+			r.logged = state
+			list = append(list, entryChange{name, r.entry.Zone, state, now - r.heard})
+		}
+	}
+	return list
+}
+
 // recent returns the entry hosts that called this host within the time.
 func (t *entryTable) recent(now, within time.Duration) []fleet.Seen {
 	t.mu.Lock()
--- /dev/null
+++ b/internal/core/meters.go
@@ -0,0 +1,52 @@
+package core
+
+import (
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// Metrics returns the registry of the control host's metrics.
+func (n *Node) Metrics() metrics.Registry { return n.registry }
+
+func (n *Node) count(name string) { metrics.GetOrRegisterCounter(name, n.registry).Inc(1) }
+
+func (n *Node) gauge(name string, value int64) {
+	metrics.GetOrRegisterGauge(name, n.registry).Update(value)
+}
+
+// observe updates the gauges and logs contact with the majority that is lost or regained.
+func (n *Node) observe(now time.Duration) {
+	state, _ := n.machine.State()
+	fresh := n.fresh()
+	n.gauge("policy.version", int64(state.Document.Version))
+	n.gauge("orders.evacuated_zones", int64(len(state.Orders.Evacuated)))
+	n.gauge("orders.departures", int64(len(state.Orders.Departures)))
+	n.gauge("targets.known", int64(len(n.targets.All())))
+	n.gauge("fleet.entry_hosts", int64(len(n.entries.live(now))))
+	n.gauge("fleet.control_hosts", int64(len(n.others.known(now))))
+	if g := n.currentGroup(); g != nil {
+		s := g.Status()
+		n.gauge("agreement.term", int64(s.Term))
+		n.gauge("agreement.commit", int64(s.Commit))
+		n.gauge("agreement.applied", int64(s.Applied))
+		n.gauge("agreement.members", int64(len(s.Members)))
+		n.gauge("agreement.leads", boolValue(s.IsLeader))
+	}
+	n.gauge("agreement.in_contact", boolValue(fresh))
+	if fresh != n.inContact {
+		n.inContact = fresh
+		if fresh {
+			n.config.Log.Info("contact with the majority regained")
+		} else {
+			n.config.Log.Warn("contact with the majority lost", "limit", freshWithin)
+		}
+	}
+}
+
+func boolValue(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/hornbeamstack/hornbeamstack/internal/desired"
 	"github.com/hornbeamstack/hornbeamstack/internal/fleet"
 	"github.com/hornbeamstack/hornbeamstack/internal/peer"
@@ -37,6 +39,9 @@
 	changed *notifier
 	loads   *loadTable
 
+	registry  metrics.Registry
+	inContact bool // as last logged; owned by sweepLoop
+
 	mu      sync.Mutex
 	group   *replica.Group // nil while the disk refuses
 	settled time.Time      // until then a founded group may lack members
@@ -48,7 +53,7 @@
 		config: c, self: fleet.Control{Peer: c.Peer, Zone: c.Zone, Region: c.Region},
 		epoch: time.Now().UnixNano(), start: time.Now(),
 		targets: roster.New(forgetTargets), entries: newEntryTable(), direct: newDirectLog(), changed: newNotifier(),
-		loads: newLoadTable(),
+		loads: newLoadTable(), registry: metrics.NewRegistry(),
 	}
 	n.others = newControlTable(n.self, c.Seeds)
 	n.machine = desired.New(n.applied)
@@ -90,7 +95,13 @@
 		case <-ticker.C:
 		}
 		before := n.targets.Revision()
-		n.targets.Sweep(n.now(), overdue)
+		n.observe(n.now())
+		for _, name := range n.targets.Sweep(n.now(), overdue) {
+			n.config.Log.Warn("target silent", "target", name, "limit", overdue)
+		}
+		for _, e := range n.entries.changes(n.now()) {
+			n.config.Log.Info("entry host "+e.state, "entry", e.name, "zone", e.zone, "silent", e.silent)
+		}
 		for _, name := range n.targets.Forget(n.now()) {
 			n.config.Log.Info("target forgotten", "target", name, "silent", forgetTargets)
 		}
--- a/internal/core/pull.go
+++ b/internal/core/pull.go
@@ -14,6 +14,7 @@
 // pull answers an entry host as soon as there is something that it lacks.
 func (n *Node) pull(ctx context.Context, _ string, req fleet.PullRequest) (fleet.PullReply, error) {
 	n.entries.note(n.now(), 0, req.Entry, true)
+	n.count("pulls")
 	n.loads.note(n.now(), req.Loads)
 	deadline := time.NewTimer(req.Wait)
 	defer deadline.Stop()
--- a/internal/core/submit.go
+++ b/internal/core/submit.go
@@ -23,6 +23,7 @@
 // Submit adds a command to the history. It tries until ctx ends; an error
 // says nothing about whether the command is accepted later.
 func (n *Node) Submit(ctx context.Context, c desired.Command) error {
+	n.count("orders.received")
 	data, err := c.Encode()
 	if err != nil {
 		return err
@@ -30,10 +31,12 @@
 	for {
 		err := n.trySubmit(ctx, data)
 		if err == nil {
+			n.count("orders.acknowledged")
 			return nil
 		}
 		select {
 		case <-ctx.Done():
+			n.count("orders.unacknowledged")
 			return errors.Join(ctx.Err(), err)
 		case <-time.After(submitPause):
 		}
--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/hornbeamstack/hornbeamstack/pkg/evidence"
@@ -32,7 +33,6 @@
 type delivery struct {
 	gateway  *Gateway
 	exchange *exchange
-	policy   *policy.Policy
 	service  string
 	deadline time.Duration
 	tried    map[string]bool
@@ -58,7 +58,7 @@
 		t, e, ok := g.choose(d)
 		if !ok {
 			if first {
-				return g.refuse(x, "no target of the service is known")
+				return g.refuse(x, reasonNoTarget, "service", d.service)
 			}
 			return d.giveUp(last)
 		}
@@ -67,11 +67,10 @@
 			last.reply.finish(false)
 		}
 		last = d.attempt(&t, e)
+		d.note(&t, e, last)
 		if last.outcome == answered {
 			return last.reply
 		}
-		g.log.Info("attempt failed", "id", x.call.ID, "target", t.Name, "address", t.Address, "outcome", last.outcome, "err", last.err,
-			"after", g.now()-x.received)
 		switch last.outcome {
 		case unreached, notRun:
 			d.unrun++
@@ -81,6 +80,23 @@
 	}
 }
 
+// note logs and counts an attempt.
+func (d *delivery) note(t *roster.Target, e *evidence.Target, a attempt) {
+	g, x := d.gateway, d.exchange
+	now := g.now()
+	g.meters.count("attempt." + strings.ReplaceAll(a.outcome.String(), " ", "_"))
+	pairs := []any{"id", x.call.ID, "target", t.Name, "address", t.Address, "zone", t.Zone, "slots", t.Slots,
+		"attempt", d.runs + d.unrun + 1, "evidence", e.Verdict(now), "heard", now - t.Heard, "outcome", a.outcome, "after", now - x.received}
+	if a.outcome == answered {
+		g.meters.answered(x.route.Kind, a.reply.status, now-x.received)
+		if g.meters.sampler.Routine(x.call.ID) {
+			g.log.Info("answered", append(pairs, "status", a.reply.status)...)
+		}
+		return
+	}
+	g.logFailure("attempt failed", append(pairs, "err", a.err)...)
+}
+
 // mayRepeat decides whether the request may be sent once more.
 func (d *delivery) mayRepeat(last attempt) bool {
 	g, x := d.gateway, d.exchange
@@ -103,7 +119,12 @@
 		return true
 	}
 	_, hosts := g.view.place()
-	return g.budgets.take(d.service, g.now(), hosts)
+	if !g.budgets.take(d.service, g.now(), hosts) {
+		g.meters.count("repeat.denied")
+		return false
+	}
+	g.meters.count("repeat.sent")
+	return true
 }
 
 // giveUp returns the final answer after attempts that failed.
@@ -113,11 +134,11 @@
 	case last.reply != nil:
 		return last.reply
 	case d.runs == 0 && last.outcome != callerLeft:
-		return g.refuse(x, "no target could take the request: "+last.outcome.String())
+		return g.refuse(x, reasonNoneTook, "last", last.outcome, "attempts", d.unrun)
 	case last.outcome == timedOut:
 		return g.fail(x, http.StatusGatewayTimeout, "the target did not answer in time")
 	}
-	return g.fail(x, http.StatusBadGateway, "the target's answer was lost: "+last.outcome.String())
+	return g.fail(x, http.StatusBadGateway, "the target's answer was lost", "last", last.outcome, "err", last.err)
 }
 
 // attempt sends the request to a target.
--- a/internal/gateway/delivery_test.go
+++ b/internal/gateway/delivery_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -176,11 +177,10 @@
 // Guards against giving a target more time than the caller has left.
 func TestTimeLeftShrinks(t *testing.T) {
 	lefts := make(chan string, 2)
-	first := true
+	var seen atomic.Int32
 	script := func(target *fakeTarget, c net.Conn, r *http.Request) {
 		lefts <- r.Header.Get("Left")
-		if first {
-			first = false
+		if seen.Add(1) == 1 {
 			time.Sleep(200 * time.Millisecond)
 			_ = c.Close()
 			return
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -195,8 +195,9 @@
 // order returns the indexes of the targets in the order of object "a" on a route.
 func (f *fixture) order(kind policy.Kind) []int {
 	f.t.Helper()
-	d := &delivery{gateway: f.gateway, service: "s", policy: f.gateway.view.current(), tried: map[string]bool{}}
-	d.exchange = &exchange{call: Call{Object: "a"}, route: d.policy.Match("h", "/"+kind.String()+"/")}
+	d := &delivery{gateway: f.gateway, service: "s", tried: map[string]bool{}}
+	p := f.gateway.view.current()
+	d.exchange = &exchange{call: Call{Object: "a"}, policy: p, route: p.Match("h", "/"+kind.String()+"/")}
 	var list []int
 	for {
 		t, _, found := f.gateway.choose(d)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -42,6 +42,7 @@
 	loads   *loads
 	balance *affinity.Balance
 	large   *downloads
+	meters  *meters
 
 	leaving  atomic.Bool
 	mu       sync.Mutex
@@ -53,7 +54,7 @@
 func New(c Config) *Gateway {
 	g := &Gateway{config: c, log: c.Log, start: time.Now(), started: time.Now().UnixNano(),
 		board: evidence.NewBoard(), callers: map[*caller]bool{}, rates: newRates(), splits: newSplitters(),
-		loads: newLoads(), balance: affinity.NewBalance()}
+		loads: newLoads(), balance: affinity.NewBalance(), meters: newMeters()}
 	g.large = newDownloads(c.LinkRate)
 	g.view = newView(&g.config)
 	g.watch = newWatch(&g.config, g.view, g.now, g.self, g.loads)
@@ -122,6 +123,7 @@
 		case <-ticker.C:
 		}
 		g.rates.step(rateInterval)
+		g.observe()
 		g.balance.Step(rateInterval, g.loads.all(func(name string) bool { _, ok := g.view.targets.Find(name); return ok }))
 		g.board.Keep(func(k evidence.Key) bool {
 			t, ok := g.view.targets.Find(k.Name)
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -32,11 +32,13 @@
 func (g *Gateway) respond(x *exchange) *reply {
 	p := g.view.current()
 	if p == nil {
-		return g.refuse(x, "no policy is known yet")
+		return g.refuse(x, reasonNoPolicy)
 	}
+	x.policy = p
 	x.route = p.Match(x.request.Host, x.request.URL.Path)
 	if x.route == nil {
-		g.log.Info("no route", "id", x.call.ID, "host", x.request.Host, "path", x.request.URL.Path, "version", p.Version)
+		g.meters.count("request.unrouted")
+		g.logFailure("no route matches", "id", x.call.ID, "host", x.request.Host, "path", x.request.URL.Path, "version", p.Version)
 		r := newReply(http.StatusNotFound, "no route matches")
 		g.config.Codec.Echo(r.header, x.call.ID)
 		return r
@@ -47,22 +49,36 @@
 		select {
 		case <-x.turn:
 		case <-x.ctx.Done():
-			return g.refuse(x, "the caller has left")
+			return g.refuse(x, reasonCallerLeft)
 		}
 	}
+	d := g.newDelivery(x)
+	if x.route.Kind == policy.Download {
+		return g.download(d)
+	}
+	return d.run()
+}
+
+// newDelivery fixes the service and the time limit of a request.
+func (g *Gateway) newDelivery(x *exchange) *delivery {
 	service := g.splits.destination(x.route)
 	g.rates.count(service)
 	g.budgets.request(service, g.now())
-	d := &delivery{gateway: g, exchange: x, service: service, policy: p, tried: map[string]bool{}}
-	d.deadline = x.received + x.route.Timeout
+	d := &delivery{gateway: g, exchange: x, service: service, tried: map[string]bool{}, deadline: x.received + x.route.Timeout}
 	if x.call.Left > 0 {
 		d.deadline = min(d.deadline, x.received+x.call.Left)
 	}
-	if x.route.Kind != policy.Download {
-		return d.run()
+	if g.meters.sampler.Routine(x.call.ID) {
+		g.log.Info("request accepted", "id", x.call.ID, "route", x.route.Name, "kind", x.route.Kind, "service", service,
+			"version", x.policy.Version, "object", x.call.Object, "left", d.deadline-x.received)
 	}
-	if !g.large.begin(x.ctx, (d.deadline-g.now())/2) {
-		return g.refuse(x, "the link is busy with other downloads")
+	return d
+}
+
+// download delivers a large answer once the own link has room for it.
+func (g *Gateway) download(d *delivery) *reply {
+	if !g.large.begin(d.exchange.ctx, (d.deadline-g.now())/2) {
+		return g.refuse(d.exchange, reasonLinkBusy)
 	}
 	r := d.run()
 	finish := r.finish
@@ -75,23 +91,6 @@
 	return r
 }
 
-// refuse says that the request was not run and may be sent again.
-func (g *Gateway) refuse(x *exchange, reason string) *reply {
-	r := newReply(http.StatusServiceUnavailable, reason)
-	g.config.Codec.Refuse(r.header, refusalPause)
-	g.config.Codec.Echo(r.header, x.call.ID)
-	g.log.Info("refused", "id", x.call.ID, "reason", reason)
-	return r
-}
-
-// fail says that the outcome is unknown.
-func (g *Gateway) fail(x *exchange, status int, reason string) *reply {
-	r := newReply(status, reason)
-	g.config.Codec.Echo(r.header, x.call.ID)
-	g.log.Info("failed", "id", x.call.ID, "status", status, "reason", reason, "route", x.route.Name, "after", g.now()-x.received)
-	return r
-}
-
 // choose returns the target for the next attempt of a request.
 func (g *Gateway) choose(d *delivery) (roster.Target, *evidence.Target, bool) {
 	now := g.now()
@@ -122,7 +121,7 @@
 		if !ok {
 			continue
 		}
-		if t.Cold(now) && !g.cold.allowed(now, &t, d.policy) {
+		if t.Cold(now) && !g.cold.allowed(now, &t, d.exchange.policy) {
 			continue
 		}
 		e := g.board.Of(evidence.Key{Name: t.Name, Life: int64(t.Life)})
--- /dev/null
+++ b/internal/gateway/meters.go
@@ -0,0 +1,77 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/telemetry"
+	"github.com/hornbeamstack/hornbeamstack/pkg/policy"
+)
+
+const (
+	// sampleSize and sampleDecay set how many latencies a histogram holds and how
+	// fast it forgets.
+	sampleSize  = 512
+	sampleDecay = 0.015
+)
+
+// meters count what happens to requests.
+type meters struct {
+	registry metrics.Registry
+	sampler  *telemetry.Sampler
+}
+
+func newMeters() *meters {
+	return &meters{registry: metrics.NewRegistry(), sampler: telemetry.NewSampler()}
+}
+
+func (m *meters) count(name string) { metrics.GetOrRegisterCounter(name, m.registry).Inc(1) }
+
+func (m *meters) gauge(name string, value int64) {
+	metrics.GetOrRegisterGauge(name, m.registry).Update(value)
+}
+
+func (m *meters) time(name string, d time.Duration) {
+	sample := func() metrics.Sample { return metrics.NewExpDecaySample(sampleSize, sampleDecay) }
+	h, ok := m.registry.GetOrRegister(name, func() metrics.Histogram { return metrics.NewHistogram(sample()) }).(metrics.Histogram)
+	if ok {
+		h.Update(d.Milliseconds())
+	}
+}
+
+// refused counts a refusal for a reason.
+func (m *meters) refused(reason string) { m.count("request.refused." + reason) }
+
+// answered counts an answer of a target.
+func (m *meters) answered(kind policy.Kind, status int, total time.Duration) {
+	switch {
+	case status < 400:
+		m.count("request.answered." + kind.String() + ".success")
+	case status < 500:
+		m.count("request.answered." + kind.String() + ".caller_error")
+	default:
+		m.count("request.answered." + kind.String() + ".target_error")
+	}
+	m.time("request.total_ms."+kind.String(), total)
+}
+
+// Metrics returns the registry of the entry host's metrics.
+func (g *Gateway) Metrics() metrics.Registry { return g.meters.registry }
+
+// observe updates the gauges about the host itself.
+func (g *Gateway) observe() {
+	version, orders := g.view.versions()
+	rank, hosts := g.view.place()
+	g.mu.Lock()
+	callers := len(g.callers)
+	g.mu.Unlock()
+	g.meters.gauge("policy.version", int64(version))
+	g.meters.gauge("orders.index", int64(orders))
+	g.meters.gauge("fleet.entry_hosts", int64(hosts))
+	g.meters.gauge("fleet.rank", int64(rank))
+	g.meters.gauge("targets.known", int64(len(g.view.targets.All())))
+	g.meters.gauge("callers.open", int64(callers))
+	g.meters.gauge("targets.idle_connections", int64(g.pool.size()))
+	g.meters.gauge("control.age_ms", g.watch.age().Milliseconds())
+}
--- /dev/null
+++ b/internal/gateway/own_answers.go
@@ -0,0 +1,59 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+)
+
+// reason says why a request was refused. Refused requests have not run.
+type reason string
+
+// Reasons of refusals.
+const (
+	reasonNoPolicy   reason = "no_policy"
+	reasonNoTarget   reason = "no_target"
+	reasonNoneTook   reason = "no_target_took_it"
+	reasonLinkBusy   reason = "link_busy"
+	reasonCallerLeft reason = "caller_left"
+)
+
+// refusalText is what a refused caller reads.
+var refusalText = map[reason]string{
+	reasonNoPolicy:   "no policy is known yet",
+	reasonNoTarget:   "no target of the service is known",
+	reasonNoneTook:   "no target could take the request",
+	reasonLinkBusy:   "the link is busy with other downloads",
+	reasonCallerLeft: "the caller has left",
+}
+
+// refuse says that the request was not run and may be sent again.
+func (g *Gateway) refuse(x *exchange, why reason, detail ...any) *reply {
+	r := newReply(http.StatusServiceUnavailable, refusalText[why])
+	g.config.Codec.Refuse(r.header, refusalPause)
+	g.config.Codec.Echo(r.header, x.call.ID)
+	g.meters.refused(string(why))
+	g.logFailure("refused", append([]any{"id", x.call.ID, "reason", why, "after", g.now() - x.received}, detail...)...)
+	return r
+}
+
+// fail says that the outcome is unknown.
+func (g *Gateway) fail(x *exchange, status int, text string, detail ...any) *reply {
+	r := newReply(status, text)
+	g.config.Codec.Echo(r.header, x.call.ID)
+	g.meters.count("request.failed." + http.StatusText(status))
+	g.logFailure("failed", append([]any{"id", x.call.ID, "status", status, "reason", text, "route", x.route.Name,
+		"after", g.now() - x.received}, detail...)...)
+	return r
+}
+
+// logFailure logs what went wrong with a request, within a rate.
+func (g *Gateway) logFailure(message string, pairs ...any) {
+	omitted, ok := g.meters.sampler.Failure(time.Now())
+	if !ok {
+		return
+	}
+	if omitted > 0 {
+		pairs = append(pairs, "omitted_before", omitted)
+	}
+	g.log.Warn(message, pairs...)
+}
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -83,6 +83,17 @@
 	p.idle[address] = append(p.idle[address], u)
 }
 
+// size is the number of idle connections.
+func (p *pool) size() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, list := range p.idle {
+		n += len(list)
+	}
+	return n
+}
+
 func (p *pool) drop(address string, u *upstream) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -234,6 +234,13 @@
 	return w.fresh > 0
 }
 
+// age is the time since a control host in contact with a majority answered.
+func (w *watch) age() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.now() - w.fresh
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/internal/platformnode/common.go
+++ b/internal/platformnode/common.go
@@ -13,6 +13,7 @@
 
 	"github.com/charmbracelet/log"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/hornbeamstack/hornbeamstack/internal/telemetry"
 	"github.com/hornbeamstack/hornbeamstack/platform"
@@ -24,6 +25,8 @@
 	// reloadInterval is the pause between looks at the settings file, which may
 	// change without a signal.
 	reloadInterval = 2 * time.Second
+	// memoryInterval is the pause between readings of the memory in use.
+	memoryInterval = 15 * time.Second
 )
 
 // newLogger logs to standard output without ever waiting for it.
@@ -57,6 +60,22 @@
 	return nil
 }
 
+// serveMetrics serves the metrics of a process.
+func serveMetrics(ctx context.Context, s *platform.Settings, r metrics.Registry, l *log.Logger) error {
+	metrics.RegisterRuntimeMemStats(r)
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", telemetry.TextHandler(r))
+	go func() {
+		ticker := time.NewTicker(memoryInterval)
+		defer ticker.Stop()
+		for ctx.Err() == nil {
+			metrics.CaptureRuntimeMemStatsOnce(r)
+			<-ticker.C
+		}
+	}()
+	return serveHTTP(ctx, s.MetricsAddress(), mux, l)
+}
+
 // reload calls apply with the settings at SIGHUP and whenever the file has changed.
 func reload(ctx context.Context, l *log.Logger, apply func(*platform.Settings)) {
 	hup := make(chan os.Signal, 1)
--- a/internal/platformnode/core.go
+++ b/internal/platformnode/core.go
@@ -44,6 +44,9 @@
 			return err
 		}
 	}
+	if err := serveMetrics(ctx, s, n.Metrics(), l); err != nil {
+		return err
+	}
 	l.Info("control host started", "zone", s.Zone, "region", s.Region, "seeds", s.Seeds, "first", s.Bootstrap)
 	go reload(ctx, l, func(s *platform.Settings) { n.SetSeeds(s.SeedPeers()) })
 	<-ctx.Done()
--- a/internal/platformnode/gateway.go
+++ b/internal/platformnode/gateway.go
@@ -46,6 +46,9 @@
 	if err := serveHTTP(ctx, s.Listen.Ready, platform.ReadyHandler(g.Ready), l); err != nil {
 		return err
 	}
+	if err := serveMetrics(ctx, s, g.Metrics(), l); err != nil {
+		return err
+	}
 	l.Info("entry host started", "zone", s.Zone, "region", s.Region, "front", s.Listen.Front, "seeds", s.Seeds)
 	go g.Run(ctx, front)
 	go reload(ctx, l, func(s *platform.Settings) { g.SetSeeds(s.SeedPeers()) })
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -164,16 +164,19 @@
 	return list
 }
 
-// Sweep marks targets whose announcements are overdue by now.
-func (r *Roster) Sweep(now, overdue time.Duration) {
+// Sweep marks targets whose announcements are overdue and returns their names.
+func (r *Roster) Sweep(now, overdue time.Duration) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, t := range r.targets {
+	var names []string
+	for name, t := range r.targets {
 		if !t.Silent && now-t.Heard > overdue {
 			t.Silent = true
 			r.touch(t)
+			names = append(names, name)
 		}
 	}
+	return names
 }
 
 // Forget drops targets that have been silent for too long.
