Judge targets by what all entry hosts together see

Cause: each entry host sends a target too few requests to find a slow or failing one soon. Change: entry hosts report outcomes with each pull; control hosts single out targets that fail much more than others of their service, at most 40 in 100; objects of those go to their second homes, one request in twelve tries on.

--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -37,7 +37,7 @@
 	others  *controlTable
 	direct  *directLog
 	changed *notifier
-	loads   *loadTable
+	judge   *judge
 
 	registry  metrics.Registry
 	inContact bool // as last logged; owned by sweepLoop
@@ -53,7 +53,7 @@
 		config: c, self: fleet.Control{Peer: c.Peer, Zone: c.Zone, Region: c.Region},
 		epoch: time.Now().UnixNano(), start: time.Now(),
 		targets: roster.New(forgetTargets), entries: newEntryTable(), direct: newDirectLog(), changed: newNotifier(),
-		loads: newLoadTable(), registry: metrics.NewRegistry(),
+		judge: newJudge(), registry: metrics.NewRegistry(),
 	}
 	n.others = newControlTable(n.self, c.Seeds)
 	n.machine = desired.New(n.applied)
@@ -105,13 +105,27 @@
 		for _, name := range n.targets.Forget(n.now()) {
 			n.config.Log.Info("target forgotten", "target", name, "silent", forgetTargets)
 		}
-		n.loads.keep(func(name string) bool { _, ok := n.targets.Find(name); return ok })
+		n.judgeTargets()
 		if n.targets.Revision() != before {
 			n.changed.notify()
 		}
 	}
 }
 
+// judgeTargets looks for targets that fail more than others of their service.
+func (n *Node) judgeTargets() {
+	changed := n.judge.step(n.now(), func(name string) string {
+		t, _ := n.targets.Find(name)
+		return t.Service
+	})
+	for _, s := range changed {
+		n.config.Log.Info("verdict on target", "target", s.Target, "failing", s.Failing, "load_tenths", s.Tenths)
+	}
+	if len(changed) > 0 {
+		n.changed.notify()
+	}
+}
+
 // fresh reports whether this host speaks for the deployment.
 func (n *Node) fresh() bool {
 	g := n.currentGroup()
--- a/internal/core/pull.go
+++ b/internal/core/pull.go
@@ -15,7 +15,7 @@
 func (n *Node) pull(ctx context.Context, _ string, req fleet.PullRequest) (fleet.PullReply, error) {
 	n.entries.note(n.now(), 0, req.Entry, true)
 	n.count("pulls")
-	n.loads.note(n.now(), req.Loads)
+	n.judge.note(n.now(), req.Reports)
 	deadline := time.NewTimer(req.Wait)
 	defer deadline.Stop()
 	fresh := n.fresh()
@@ -50,11 +50,11 @@
 		reply.Orders = &orders
 		news = true
 	}
-	since, loads := req.Revision, req.LoadNumber
+	since, states := req.Revision, req.StateNumber
 	if req.Epoch != n.epoch {
-		since, loads = 0, 0
+		since, states = 0, 0
 	}
-	reply.Averages, reply.LoadNumber = n.loads.since(loads)
+	reply.States, reply.StateNumber = n.judge.since(states)
 	var changed []roster.Target
 	changed, reply.Revision = n.targets.Since(since)
 	for i := range changed {
--- a/internal/fleet/pull.go
+++ b/internal/fleet/pull.go
@@ -22,10 +22,10 @@
 	Controls uint64         `cbor:"6,keyasint"` // digest of the control hosts held
 	Demand   int64          `cbor:"7,keyasint"` // number of the demand held
 	Wait     time.Duration  `cbor:"8,keyasint"`
-	// Loads are what targets reported to the entry host since its last pull.
-	Loads []TargetLoad `cbor:"9,keyasint,omitempty"`
-	// LoadNumber is the number of the load averages held.
-	LoadNumber uint64 `cbor:"10,keyasint,omitempty"`
+	// Reports are what the entry host saw of targets since its last pull.
+	Reports []TargetReport `cbor:"9,keyasint,omitempty"`
+	// StateNumber is the number of the target states held.
+	StateNumber uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // PullReply carries what the entry host lacks.
@@ -46,8 +46,8 @@
 	Demand       Demand `cbor:"10,keyasint,omitempty"`
 	DemandNumber int64  `cbor:"11,keyasint"`
 	Entries      int    `cbor:"12,keyasint"` // live entry hosts
-	// Averages are the loads of targets that changed since LoadNumber.
-	Averages   []TargetLoad `cbor:"14,keyasint,omitempty"`
-	LoadNumber uint64       `cbor:"15,keyasint,omitempty"`
-	Rank       int          `cbor:"13,keyasint"` // place of the asking host among them, by name
+	// States are those of targets that changed since StateNumber.
+	States      []TargetState `cbor:"14,keyasint,omitempty"`
+	StateNumber uint64        `cbor:"15,keyasint,omitempty"`
+	Rank        int           `cbor:"13,keyasint"` // place of the asking host among them, by name
 }
--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -158,13 +158,39 @@
 		}
 	}
 	e.Began()
+	sent := g.now()
 	a := d.send(u, t, e)
 	if a.outcome != answered {
 		e.Ended()
 	}
+	d.judge(t, a, sent)
 	return a
 }
 
+// slowFactor is how many times the objective of its route a request may take
+// before it counts as failed work of its target. Cold work stays below.
+const slowFactor = 2
+
+// judge tells the control hosts how the target did.
+func (d *delivery) judge(t *roster.Target, a attempt, sent time.Duration) {
+	g := d.gateway
+	took := g.now() - sent
+	slow := slowFactor * d.exchange.route.Objective
+	switch a.outcome {
+	case answered:
+		failed := a.reply.status >= http.StatusInternalServerError
+		g.reports.work(t.Name, !failed && (slow == 0 || took < slow))
+	case targetError, broken:
+		g.reports.work(t.Name, false)
+	case timedOut:
+		if slow == 0 || took >= slow/2 {
+			// Only the comparison with other targets tells a slow one from a busy
+			// service, so this is no evidence of its own.
+			g.reports.work(t.Name, false)
+		}
+	}
+}
+
 // send writes the request to a connection and waits for the response.
 func (d *delivery) send(u *upstream, t *roster.Target, e *evidence.Target) attempt {
 	g, x := d.gateway, d.exchange
@@ -217,7 +243,7 @@
 	}
 	if r.answer.Load != nil {
 		e.Loaded(now, *r.answer.Load)
-		d.gateway.loads.note(t.Name, *r.answer.Load)
+		d.gateway.reports.load(t.Name, *r.answer.Load)
 	}
 	u.keepAlive = r.answer.KeepAlive
 	a := d.readAnswer(u, t, e, r, complete)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -39,7 +39,7 @@
 	rates   *rates
 	splits  *splitters
 	cold    *coldLimiter
-	loads   *loads
+	reports *reports
 	balance *affinity.Balance
 	large   *downloads
 	meters  *meters
@@ -54,10 +54,10 @@
 func New(c Config) *Gateway {
 	g := &Gateway{config: c, log: c.Log, start: time.Now(), started: time.Now().UnixNano(),
 		board: evidence.NewBoard(), callers: map[*caller]bool{}, rates: newRates(), splits: newSplitters(),
-		loads: newLoads(), balance: affinity.NewBalance(), meters: newMeters()}
+		reports: newReports(), balance: affinity.NewBalance(), meters: newMeters()}
 	g.large = newDownloads(c.LinkRate)
 	g.view = newView(&g.config)
-	g.watch = newWatch(&g.config, g.view, g.now, g.self, g.loads)
+	g.watch = newWatch(&g.config, g.view, g.now, g.self, g.reports)
 	g.pool = newPool(c.Codec, g.now)
 	g.budgets = newBudgets(&g.config)
 	g.cold = newColdLimiter(&g.config, g.view)
@@ -124,7 +124,7 @@
 		}
 		g.rates.step(rateInterval)
 		g.observe()
-		g.balance.Step(rateInterval, g.loads.all(func(name string) bool { _, ok := g.view.targets.Find(name); return ok }))
+		g.balance.Step(rateInterval, g.reports.averages(func(name string) bool { _, ok := g.view.targets.Find(name); return ok }))
 		g.board.Keep(func(k evidence.Key) bool {
 			t, ok := g.view.targets.Find(k.Name)
 			return ok && int64(t.Life) == k.Life
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -91,6 +91,13 @@
 	return r
 }
 
+// tryShare is the number of requests of which one goes to a failing target, so
+// that its recovery is seen.
+const tryShare = 12
+
+// tries reports whether a request goes to a failing target all the same.
+func (g *Gateway) tries(id string) bool { return affinity.Object("try", id)%tryShare == 0 }
+
 // choose returns the target for the next attempt of a request.
 func (g *Gateway) choose(d *delivery) (roster.Target, *evidence.Target, bool) {
 	now := g.now()
@@ -125,7 +132,11 @@
 			continue
 		}
 		e := g.board.Of(evidence.Key{Name: t.Name, Life: int64(t.Life)})
-		if v := e.Verdict(now); v < verdict {
+		v := e.Verdict(now)
+		if v < evidence.Doubtful && g.reports.failing(t.Name) && !g.tries(d.exchange.call.ID) {
+			v = evidence.Doubtful
+		}
+		if v < verdict {
 			best, bestEvidence, verdict = t, e, v
 			if v == evidence.Good {
 				break
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -33,17 +33,17 @@
 	epoch    int64
 	revision uint64
 	watched  bool
-	loads    uint64        // number of the load averages held
+	states   uint64        // number of the target states held
 	shunned  time.Duration // not to be used before
 }
 
 // watch keeps the view up to date from some control hosts.
 type watch struct {
-	config *Config
-	view   *view
-	now    func() time.Duration
-	self   func() fleet.Entry
-	loads  *loads
+	config  *Config
+	view    *view
+	now     func() time.Duration
+	self    func() fleet.Entry
+	reports *reports
 
 	mu       sync.Mutex
 	controls map[string]*controlState
@@ -52,8 +52,8 @@
 	fresh    time.Duration // last reply of a control host in contact with a majority
 }
 
-func newWatch(c *Config, v *view, now func() time.Duration, self func() fleet.Entry, l *loads) *watch {
-	w := &watch{config: c, view: v, now: now, self: self, loads: l, controls: map[string]*controlState{}}
+func newWatch(c *Config, v *view, now func() time.Duration, self func() fleet.Entry, r *reports) *watch {
+	w := &watch{config: c, view: v, now: now, self: self, reports: r, controls: map[string]*controlState{}}
 	w.setSeeds(c.Seeds)
 	return w
 }
@@ -141,7 +141,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	c.watched = false
-	w.loads.leave(c.control.Peer)
+	w.reports.leave(c.control.Peer)
 }
 
 // pull asks a control host for news. It reports whether to go on with it.
@@ -150,7 +150,7 @@
 	self := w.self()
 	w.mu.Lock()
 	req := fleet.PullRequest{Entry: self, Version: version, Orders: orders, Epoch: c.epoch, Revision: c.revision,
-		Controls: w.digest, Demand: w.demand, Wait: pullWait, Loads: w.loads.take(c.control.Peer), LoadNumber: c.loads}
+		Controls: w.digest, Demand: w.demand, Wait: pullWait, Reports: w.reports.take(c.control.Peer), StateNumber: c.states}
 	address := c.control.Peer
 	w.mu.Unlock()
 	call, cancel := context.WithTimeout(ctx, pullTimeout)
@@ -201,11 +201,11 @@
 	if reply.Demand != nil {
 		w.view.setDemand(reply.Demand)
 	}
-	w.loads.learn(reply.Averages)
+	w.reports.learn(reply.States)
 	w.view.setPlace(reply.Rank, reply.Entries)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	c.loads = reply.LoadNumber
+	c.states = reply.StateNumber
 	c.epoch, c.revision, w.demand = reply.Epoch, reply.Revision, reply.DemandNumber
 	if reply.Fresh {
 		w.fresh = now
--- a/pkg/evidence/evidence_test.go
+++ b/pkg/evidence/evidence_test.go
@@ -46,3 +46,45 @@
 		t.Errorf("dropped evidence still says %s", v)
 	}
 }
+
+// Guards against singling out targets by what all of them share, and against
+// missing the one that differs.
+func TestOutliers(t *testing.T) {
+	now := 10 * time.Second
+	service := func(n int, bad float64) map[string]*Tally {
+		m := map[string]*Tally{}
+		for i := range n {
+			m[string(rune('a'+i))] = &Tally{}
+			m[string(rune('a'+i))].Add(now, 10-bad, bad)
+		}
+		return m
+	}
+	never := func(string) bool { return false }
+	always := func(string) bool { return true }
+	with := func(m map[string]*Tally, name string, good, bad float64) map[string]*Tally {
+		m[name] = &Tally{}
+		m[name].Add(now, good, bad)
+		return m
+	}
+	cases := []struct {
+		name    string
+		tallies map[string]*Tally
+		held    func(string) bool
+		at      time.Duration
+		want    int
+	}{
+		{"all well", service(8, 0), never, now, 0},
+		{"all fail", service(8, 9), never, now, 0},
+		{"one fails", with(service(8, 1), "x", 4, 6), never, now, 1},
+		{"one fails a little", with(service(8, 1), "x", 7, 3), never, now, 0},
+		{"one that was singled out fails a little", with(service(8, 1), "x", 7, 3), always, now, 1},
+		{"too few outcomes", with(service(8, 0), "x", 0, 2), never, now, 0},
+		{"outcomes long ago", with(service(8, 0), "x", 0, 6), always, now + tallyMemory, 0},
+		{"half of them fail", with(with(with(service(3, 0), "x", 0, 9), "y", 0, 9), "z", 0, 9), never, now, 0},
+	}
+	for _, c := range cases {
+		if got := Outliers(c.at, c.tallies, c.held); len(got) != c.want {
+			t.Errorf("%s: singled out %v, want %d", c.name, got, c.want)
+		}
+	}
+}
