Add a randomized fault soak of the platform's programs

It runs control hosts and entry hosts as processes, injects faults by signals and by relays before the targets, and checks answers, runs, refusals, departures, stops and reads.

--- a/internal/proc/process.go
+++ b/internal/proc/process.go
@@ -27,6 +27,11 @@
 
 // Start runs the program bin; its output is appended to NAME.log in folder.
 func Start(folder, name, bin string, args ...string) (*Process, error) {
+	return StartEnv(folder, name, nil, bin, args...)
+}
+
+// StartEnv is Start with further environment variables, each NAME=value.
+func StartEnv(folder, name string, env []string, bin string, args ...string) (*Process, error) {
 	path := filepath.Join(folder, name+".log")
 	out, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
@@ -35,6 +40,7 @@
 	defer func() { _ = out.Close() }()
 	cmd := exec.Command(bin, args...)
 	cmd.Stdout, cmd.Stderr = out, out
+	cmd.Env = append(os.Environ(), env...)
 	if err := cmd.Start(); err != nil {
 		return nil, fmt.Errorf("start %s: %w", name, err)
 	}
@@ -83,6 +89,9 @@
 // Resume continues a frozen process.
 func (p *Process) Resume() error { return p.signal(syscall.SIGCONT) }
 
+// Reload asks the process to read its settings again.
+func (p *Process) Reload() error { return p.signal(syscall.SIGHUP) }
+
 func (p *Process) signal(s syscall.Signal) error {
 	if err := p.cmd.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
 		return fmt.Errorf("signal %s to %s: %w", s, p.Name, err)
--- /dev/null
+++ b/test/soak/relay_test.go
@@ -0,0 +1,132 @@
+package soak
+
+import (
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+)
+
+// fault is what a relay does to its connections.
+type fault int
+
+const (
+	noFault  fault = iota
+	delayed        // bytes arrive late
+	silenced       // nothing arrives in either direction
+	oneWay         // nothing arrives from the far side
+	resets         // connections are reset at random
+)
+
+// relay passes the connections to one address on, with faults.
+type relay struct {
+	listener net.Listener
+	far      string
+
+	mu     sync.Mutex
+	random *rand.Rand
+	fault  fault
+	conns  map[net.Conn]bool
+}
+
+func newRelay(far string, seed uint64) (*relay, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	r := &relay{listener: l, far: far, random: rand.New(rand.NewPCG(seed, 1)), conns: map[net.Conn]bool{}}
+	go r.accept()
+	return r, nil
+}
+
+func (r *relay) address() string { return r.listener.Addr().String() }
+
+func (r *relay) set(f fault) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fault = f
+	if f != resets {
+		return
+	}
+	for c := range r.conns {
+		if tcp, ok := c.(*net.TCPConn); ok && r.random.IntN(2) == 0 {
+			_ = tcp.SetLinger(0)
+			_ = tcp.Close()
+		}
+	}
+}
+
+func (r *relay) current() fault {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fault
+}
+
+func (r *relay) accept() {
+	for {
+		near, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		go r.pass(near)
+	}
+}
+
+func (r *relay) pass(near net.Conn) {
+	far, err := net.Dial("tcp", r.far)
+	if err != nil {
+		_ = near.Close()
+		return
+	}
+	r.mu.Lock()
+	r.conns[near], r.conns[far] = true, true
+	r.mu.Unlock()
+	var wg sync.WaitGroup
+	wg.Go(func() { r.copy(far, near, false) })
+	wg.Go(func() { r.copy(near, far, true) })
+	wg.Wait()
+	r.mu.Lock()
+	delete(r.conns, near)
+	delete(r.conns, far)
+	r.mu.Unlock()
+}
+
+// copy passes bytes on; back says that they come from the far side.
+func (r *relay) copy(to, from net.Conn, back bool) {
+	defer to.Close()
+	buffer := make([]byte, 4096)
+	for {
+		n, err := from.Read(buffer)
+		for f := r.current(); f == silenced || f == oneWay && back; f = r.current() {
+			time.Sleep(5 * time.Millisecond)
+		}
+		if r.current() == delayed {
+			time.Sleep(50 * time.Millisecond)
+		}
+		if n > 0 {
+			if _, err := to.Write(buffer[:n]); err != nil {
+				_ = from.Close()
+				return
+			}
+		}
+		if err == io.EOF {
+			return
+		}
+		if err != nil {
+			if tcp, ok := to.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0) // a reset goes on as a reset
+			}
+			return
+		}
+	}
+}
+
+func (r *relay) close() {
+	_ = r.listener.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.conns {
+		_ = c.Close()
+	}
+}
--- /dev/null
+++ b/test/soak/target_test.go
@@ -0,0 +1,142 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// record is what the targets saw of a request.
+type record struct {
+	runs   int
+	target string
+	last   time.Time
+}
+
+// ledger collects what all targets ran.
+type ledger struct {
+	mu   sync.Mutex
+	runs map[string]*record
+}
+
+func (l *ledger) ran(id, target string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r, ok := l.runs[id]
+	if !ok {
+		r = &record{}
+		l.runs[id] = r
+	}
+	r.runs++
+	r.target, r.last = target, time.Now()
+}
+
+func (l *ledger) of(id string) record {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r, ok := l.runs[id]; ok {
+		return *r
+	}
+	return record{}
+}
+
+// target is a back end of the soak. It announces the address of its relay.
+type target struct {
+	world    *world
+	name     string
+	zone     string
+	relay    *relay
+	listener net.Listener
+	server   *http.Server
+	born     int64
+
+	mu       sync.Mutex
+	sequence int
+	state    string
+	leftAt   time.Time // when its departure was acknowledged
+	gone     bool
+	late     int // requests that arrived long after the departure
+}
+
+func newTarget(w *world, name, zone string) (*target, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	t := &target{world: w, name: name, zone: zone, listener: l, born: time.Now().UnixMilli(), state: "ready"}
+	if t.relay, err = newRelay(l.Addr().String(), w.random.Uint64()); err != nil {
+		return nil, err
+	}
+	t.server = &http.Server{Handler: http.HandlerFunc(t.serve)}
+	go func() { _ = t.server.Serve(l) }()
+	go t.announce()
+	return t, nil
+}
+
+func (t *target) serve(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("Request-Id")
+	w.Header().Set("Request-Id", id)
+	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != t.name {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	t.mu.Lock()
+	if !t.leftAt.IsZero() && time.Since(t.leftAt) > drainBound && t.world.calmFor(drainBound) {
+		t.late++
+	}
+	t.mu.Unlock()
+	t.world.ledger.ran(id, t.name)
+	time.Sleep(time.Duration(5+len(id)%20) * time.Millisecond)
+	w.Header().Set("Response-Signature", "s-"+id)
+	w.Header().Set("Server-Load", "1,0,4")
+	_, _ = fmt.Fprintf(w, "%s|%s", id, body) // a cut answer shows at the caller
+}
+
+// announce sends heartbeats until the target is gone.
+func (t *target) announce() {
+	for i := 0; ; i++ {
+		t.mu.Lock()
+		t.sequence++
+		beat := map[string]any{"Service": "work", "Address": t.relay.address(), "Zone": t.zone, "Version": "v1", "Slots": 4,
+			"State": t.state, "ColdRemainingS": 0, "Sequence": t.sequence, "born": t.born}
+		gone, leaving := t.gone, t.state == "draining"
+		t.mu.Unlock()
+		if gone {
+			return
+		}
+		body, err := json.Marshal(beat)
+		if err != nil {
+			panic(err)
+		}
+		if t.world.order("PUT", "/v1/instances/"+t.name, body, i) == http.StatusOK && leaving {
+			t.mu.Lock()
+			if t.leftAt.IsZero() {
+				t.leftAt = time.Now()
+			}
+			t.mu.Unlock()
+		}
+		time.Sleep(heartbeat)
+	}
+}
+
+func (t *target) leave() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.state = "draining"
+}
+
+func (t *target) end() {
+	t.mu.Lock()
+	t.gone = true
+	t.mu.Unlock()
+	_ = t.server.Close()
+	t.relay.close()
+}
--- /dev/null
+++ b/test/soak/world_test.go
@@ -0,0 +1,200 @@
+package soak
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/proc"
+	"github.com/hornbeamstack/hornbeamstack/platform"
+)
+
+const (
+	cores, gateways = 3, 4
+	heartbeat       = 300 * time.Millisecond
+	// drainBound is the time after the acknowledgement of a departure, and without
+	// faults, from which no request may reach the target.
+	drainBound = 2500 * time.Millisecond
+	grace      = 6 * time.Second
+	// patience bounds the wait for a state that must come; it is no measured bound.
+	patience = 60 * time.Second
+)
+
+// member is one process of the deployment.
+type member struct {
+	name, bin, data, settings string
+	process                   *proc.Process
+}
+
+// world is one deployment with its callers, targets and faults.
+type world struct {
+	t       *testing.T
+	seed    uint64
+	folder  string
+	random  *rand.Rand
+	members []*member
+	fronts  []string
+	control []string
+	ledger  *ledger
+	client  *http.Client
+
+	mu       sync.Mutex
+	ended    bool
+	targets  []*target
+	sent     []sent
+	acked    int // highest acknowledged version
+	faultAt  time.Time
+	findings []string
+}
+
+func (w *world) find(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.findings = append(w.findings, fmt.Sprintf(format, args...))
+}
+
+func (w *world) over() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.ended
+}
+
+func (w *world) note(s sent) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.sent = append(w.sent, s)
+}
+
+// disturb notes that a fault begins or goes on.
+func (w *world) disturb() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faultAt = time.Now()
+}
+
+func (w *world) calmFor(d time.Duration) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Since(w.faultAt) > d
+}
+
+// newWorld starts all processes of a deployment.
+func newWorld(t *testing.T, seed uint64) *world {
+	w := &world{t: t, seed: seed, folder: t.TempDir(), random: rand.New(rand.NewPCG(seed, 7)),
+		ledger: &ledger{runs: map[string]*record{}}, client: &http.Client{Timeout: 2 * time.Second}}
+	ip := func(i int) string { return fmt.Sprintf("127.80.%d.%d", seed%250+1, i+1) }
+	var seeds []string
+	for i := range cores {
+		w.control = append(w.control, ip(i)+":8101")
+		seeds = append(seeds, fmt.Sprintf("%q", ip(i)+":8101"))
+	}
+	for i := range cores + gateways {
+		m := &member{name: fmt.Sprintf("core-%d", i), bin: "hornbeam-core"}
+		listen := fmt.Sprintf("Control = %q\nDirectory = %q", ip(i)+":8101", ip(i)+":8102")
+		if i >= cores {
+			m.name, m.bin = fmt.Sprintf("gateway-%d", i-cores), "hornbeam-gateway"
+			listen = fmt.Sprintf("Front = %q\nReady = %q", ip(i)+":8103", ip(i)+":8104")
+			w.fronts = append(w.fronts, ip(i)+":8103")
+		}
+		m.data, m.settings = filepath.Join(w.folder, m.name+"-data"), filepath.Join(w.folder, m.name+".toml")
+		w.configure(m, ip(i), i, seeds, listen, true)
+		w.members = append(w.members, m)
+	}
+	for _, m := range w.members {
+		w.start(m)
+	}
+	for i, m := range w.members[:cores] { // later starts find an existing deployment
+		w.configure(m, ip(i), i, seeds, fmt.Sprintf("Control = %q\nDirectory = %q", ip(i)+":8101", ip(i)+":8102"), false)
+	}
+	return w
+}
+
+func (w *world) configure(m *member, ip string, i int, seeds []string, listen string, first bool) {
+	text := fmt.Sprintf("NodeName = %q\nIp = %q\nZone = \"z%d\"\nRegion = \"r%d\"\nInternalPortRange = [8110, 8115]\nSeeds = [%s]\nBootstrap = %v\nDataDir = %q\nHeartbeatS = %v\n"+
+		"Bounds = [\"GraceS=%v\", \"RetryBudgetRatio=0.2\", \"RetryBudgetSlack=100\", \"BudgetWindowS=10\"]\n[Zones]\nz0 = \"r0\"\nz1 = \"r1\"\nz2 = \"r0\"\n[Listen]\n%s\n[Limits]\nMemoryMb = 200\n",
+		m.name, ip, i%3, i%2, strings.Join(seeds, ", "), first, m.data, heartbeat.Seconds(), grace.Seconds(), listen)
+	if err := os.WriteFile(m.settings, []byte(text), 0o600); err != nil {
+		w.t.Fatal(err)
+	}
+}
+
+func (w *world) start(m *member) {
+	p, err := proc.StartEnv(w.folder, m.name, []string{platform.SettingsVariable + "=" + m.settings}, filepath.Join(binaries, m.bin))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	m.process = p
+}
+
+// order sends a call to a control host and returns the status, 0 without an answer.
+func (w *world) order(method, path string, body []byte, host int) int {
+	status, _ := w.ask(method, path, body, host)
+	return status
+}
+
+func (w *world) ask(method, path string, body []byte, host int) (int, string) {
+	r, err := http.NewRequest(method, "http://"+w.control[host%len(w.control)]+path, bytes.NewReader(body))
+	if err != nil {
+		w.t.Error(err)
+		return 0, ""
+	}
+	answer, err := w.client.Do(r)
+	if err != nil {
+		return 0, ""
+	}
+	defer answer.Body.Close()
+	text, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return answer.StatusCode, string(text)
+}
+
+func document(version int) []byte {
+	rule := func(kind string) string {
+		return fmt.Sprintf(`{"Name":%q,"Kind":%q,"TargetLatencyS":0.5,"Sticky":true,"Match":{"PathPrefix":"/%s/"},"Action":{"Service":"work","TimeoutS":2,"MaxAttempts":2}}`, kind, kind, kind)
+	}
+	return []byte(fmt.Sprintf(`{"Version":"%08x","Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":1048576,"HeaderTimeoutS":3,"IdleTimeoutS":15},"Listeners":[{"Host":"h.example","Rules":[%s,%s]}],"Clusters":[{"Name":"work","HealthCheckPath":"/h","MaxConnections":100,"ColdStartS":1,"ColdPerS":50}]}`,
+		version, rule("safe"), rule("unsafe")))
+}
+
+// put sends a version until it is acknowledged or the tries are used up.
+func (w *world) put(version, tries int) bool {
+	for i := range tries {
+		switch w.order("PUT", "/v1/config", document(version), version+i) {
+		case http.StatusOK:
+			w.mu.Lock()
+			w.acked = max(w.acked, version)
+			w.mu.Unlock()
+			return true
+		case http.StatusBadRequest, http.StatusConflict:
+			w.find("version %d was refused", version)
+			return false
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return false
+}
+
+// readBack checks that a control host answers with no older version than acknowledged.
+func (w *world) readBack(host int) {
+	w.mu.Lock()
+	least := w.acked
+	w.mu.Unlock()
+	status, body := w.ask("GET", "/v1/config", nil, host)
+	if status != http.StatusOK {
+		return
+	}
+	p, found := platform.DecodePolicy([]byte(body))
+	if len(found) > 0 || int(p.Version) < least {
+		w.find("control host %d read an older version than %d: %.80s", host%cores, least, body)
+	}
+}
