--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -176,6 +176,9 @@
 	g := d.gateway
 	took := g.now() - sent
 	slow := slowFactor * d.exchange.route.Objective
+	if t.Cold(sent) {
+		slow = 0 // a target that has just started is slow without a fault
+	}
 	switch a.outcome {
 	case answered:
 		failed := a.reply.status >= http.StatusInternalServerError
@@ -183,7 +186,7 @@
 	case targetError, broken:
 		g.reports.work(t.Name, false)
 	case timedOut:
-		if slow == 0 || took >= slow/2 {
+		if slow > 0 && took >= slow/2 {
 			// Only the comparison with other targets tells a slow one from a busy
 			// service, so this is no evidence of its own.
 			g.reports.work(t.Name, false)
--- a/internal/gateway/delivery_test.go
+++ b/internal/gateway/delivery_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/hornbeamstack/hornbeamstack/pkg/policy"
+	"github.com/hornbeamstack/hornbeamstack/pkg/roster"
 )
 
 // Guards against wrong answers to callers when a target misbehaves. Each case
@@ -227,3 +228,32 @@
 		t.Errorf("a download after the first was answered %d", r.StatusCode)
 	}
 }
+
+// Guards against targets that count as failing because they have just started,
+// and against slow ones that do not count.
+func TestSlowWorkIsReported(t *testing.T) {
+	for _, c := range []struct {
+		cold time.Duration
+		bad  uint16
+	}{{0, 1}, {time.Minute, 0}} {
+		f := newFixture(t, func(target *fakeTarget, conn net.Conn, r *http.Request) {
+			time.Sleep(30 * time.Millisecond)
+			ok(target, conn, r)
+		})
+		for i := range f.gateway.view.current().Routes {
+			f.gateway.view.current().Routes[i].Objective = 10 * time.Millisecond
+		}
+		target, _ := f.gateway.view.targets.Find("t0")
+		target.Sequence, target.ColdFor = 2, c.cold
+		f.gateway.view.targets.Note(f.gateway.now(), roster.Report{Announcement: target.Announcement})
+		f.gateway.view.setPlace(0, 1)
+		f.gateway.reports.take("control")
+		if r, _ := f.do("GET", "/safe/1", "i1", ""); r.StatusCode != 200 {
+			t.Fatalf("status %d", r.StatusCode)
+		}
+		list := f.gateway.reports.take("control")
+		if len(list) != 1 || list[0].Bad != c.bad || list[0].Good != 1-c.bad {
+			t.Errorf("cold for %s: reports %+v, want %d bad", c.cold, list, c.bad)
+		}
+	}
+}
