--- a/internal/ctl/args.go
+++ b/internal/ctl/args.go
@@ -16,6 +16,8 @@
 	Drain   *drainArgs  `arg:"subcommand:drain" help:"keep new work away from a target, zone, region or host"`
 	Undrain *drainArgs  `arg:"subcommand:undrain" help:"end a drain"`
 	Status  *statusArgs `arg:"subcommand:status" help:"version in force, lag and headroom of every host"`
+
+	Explain *explainArgs `arg:"subcommand:explain" help:"collect the log lines of one request in time order"`
 }
 
 // Description is shown by --help.
@@ -81,3 +83,8 @@
 }
 
 type statusArgs struct{}
+
+type explainArgs struct {
+	ID    string   `arg:"positional,required" help:"id of the request"`
+	Files []string `arg:"positional" placeholder:"FILE" help:"log files of any processes; standard input if there are none, or for -"`
+}
--- a/internal/ctl/run.go
+++ b/internal/ctl/run.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 
 	"github.com/alexflint/go-arg"
 
@@ -64,6 +65,8 @@
 		return c.diff(ctx, sub)
 	case *drainArgs:
 		return c.drain(ctx, sub, c.args.Drain != nil)
+	case *explainArgs:
+		return c.explain(sub, os.Stdin)
 	case *statusArgs:
 		return c.status(ctx)
 	}
--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -135,6 +135,8 @@
 		return last.reply
 	case d.runs == 0 && last.outcome != callerLeft:
 		return g.refuse(x, reasonNoneTook, "last", last.outcome, "attempts", d.unrun)
+	case last.outcome == callerLeft:
+		return g.fail(x, statusCallerLeft, "the caller has left")
 	case last.outcome == timedOut:
 		return g.fail(x, http.StatusGatewayTimeout, "the target did not answer in time")
 	}
@@ -153,7 +155,9 @@
 			return attempt{outcome: timedOut}
 		}
 		if u, err = g.pool.dial(t.Address, limit); err != nil {
-			e.Unreachable(g.now())
+			if countsAgainstTarget(limit, err) {
+				e.Unreachable(g.now())
+			}
 			return attempt{outcome: unreached, err: err}
 		}
 	}
@@ -167,6 +171,12 @@
 	return a
 }
 
+// countsAgainstTarget reports whether a dial that failed says something about
+// the target. One that was cut short by the request's own end does not.
+func countsAgainstTarget(limit time.Duration, err error) bool {
+	return limit == targetDialTimeout || !isTimeout(err)
+}
+
 // slowFactor is how many times the objective of its route a request may take
 // before it counts as failed work of its target. Cold work stays below.
 const slowFactor = 2
@@ -176,8 +186,10 @@
 	g := d.gateway
 	took := g.now() - sent
 	slow := slowFactor * d.exchange.route.Objective
-	if t.Cold(sent) {
-		slow = 0 // a target that has just started is slow without a fault
+	if t.Cold(sent) || d.exchange.route.Kind == policy.Download {
+		// A target that has just started is slow without a fault, and the time of
+		// a download depends on this host's own link.
+		slow = 0
 	}
 	switch a.outcome {
 	case answered:
--- a/internal/gateway/delivery_test.go
+++ b/internal/gateway/delivery_test.go
@@ -4,8 +4,10 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -257,3 +259,22 @@
 		}
 	}
 }
+
+// Guards against targets that count as down because a request had no time left
+// to connect.
+func TestShortDialIsNoEvidence(t *testing.T) {
+	refused := &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+	timeout := &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}
+	for _, c := range []struct {
+		limit time.Duration
+		err   error
+		want  bool
+	}{
+		{20 * time.Millisecond, timeout, false}, {targetDialTimeout, timeout, true},
+		{20 * time.Millisecond, refused, true}, {targetDialTimeout, refused, true},
+	} {
+		if got := countsAgainstTarget(c.limit, c.err); got != c.want {
+			t.Errorf("limit %s, %v: counts %v", c.limit, c.err, got)
+		}
+	}
+}
--- a/internal/gateway/own_answers.go
+++ b/internal/gateway/own_answers.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"net/http"
 	"time"
 )
@@ -26,6 +27,9 @@
 	reasonCallerLeft: "the caller has left",
 }
 
+// statusCallerLeft is logged for requests whose caller has left; nobody reads it.
+const statusCallerLeft = 499
+
 // refuse says that the request was not run and may be sent again.
 func (g *Gateway) refuse(x *exchange, why reason, detail ...any) *reply {
 	r := newReply(http.StatusServiceUnavailable, refusalText[why])
@@ -40,7 +44,7 @@
 func (g *Gateway) fail(x *exchange, status int, text string, detail ...any) *reply {
 	r := newReply(status, text)
 	g.config.Codec.Echo(r.header, x.call.ID)
-	g.meters.count("request.failed." + http.StatusText(status))
+	g.meters.count(fmt.Sprintf("request.failed.%d", status))
 	g.logFailure("failed", append([]any{"id", x.call.ID, "status", status, "reason", text, "route", x.route.Name,
 		"after", g.now() - x.received}, detail...)...)
 	return r
