--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -6,8 +6,6 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/hornbeamstack/hornbeamstack/internal/peer"
-	"github.com/hornbeamstack/hornbeamstack/pkg/finding"
-	"github.com/hornbeamstack/hornbeamstack/pkg/policy"
 )
 
 // Config describes a control host to start.
@@ -20,9 +18,7 @@
 	Seeds     []string // peer addresses of some control hosts
 	Found     bool     // the deployment starts for the first time
 	Heartbeat time.Duration
-	// Decode reads a policy document.
-	Decode func(body []byte) (*policy.Policy, finding.List)
-	Server *peer.Server
-	Client *peer.Client
-	Log    *log.Logger
+	Server    *peer.Server
+	Client    *peer.Client
+	Log       *log.Logger
 }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -193,7 +193,7 @@
 	c.put(0, 3)
 	announcement := roster.Announcement{Name: "t", Life: 5, Sequence: 1, Service: "s", Address: "a:1", Zone: "z", Slots: 2}
 	eventually(func() bool { return c.hosts[0].node.Announce(context.Background(), announcement) == nil })
-	entry := fleet.Entry{Name: "e", Front: "f:1", Zone: "z", Region: "r", Ready: true, Started: 1, Rates: map[string]float64{"s": 2}}
+	entry := fleet.Entry{Name: "e", Front: "f:1", Zone: "z", Region: "r", Ready: true, Started: 1}
 	req := fleet.PullRequest{Entry: entry, Wait: 100 * time.Millisecond}
 	known := map[string]bool{}
 	pull := func() fleet.PullReply {
@@ -201,7 +201,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		req.Epoch, req.Revision, req.Demand = reply.Epoch, reply.Revision, reply.DemandNumber
+		req.Epoch, req.Revision = reply.Epoch, reply.Revision
 		if reply.Document != nil {
 			req.Version = reply.Document.Version
 		}
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -42,9 +42,8 @@
 	registry  metrics.Registry
 	inContact bool // as last logged; owned by sweepLoop
 
-	mu      sync.Mutex
-	group   *replica.Group // nil while the disk refuses
-	settled time.Time      // until then a founded group may lack members
+	mu    sync.Mutex
+	group *replica.Group // nil while the disk refuses
 }
 
 // Start starts all parts of the control host. They end with ctx.
--- a/internal/core/pull.go
+++ b/internal/core/pull.go
@@ -8,9 +8,6 @@
 	"github.com/hornbeamstack/hornbeamstack/pkg/roster"
 )
 
-// demandPeriod is the time between two numbers of the demand.
-const demandPeriod = 2 * time.Second
-
 // pull answers an entry host as soon as there is something that it lacks.
 func (n *Node) pull(ctx context.Context, _ string, req fleet.PullRequest) (fleet.PullReply, error) {
 	n.entries.note(n.now(), 0, req.Entry, true)
@@ -71,21 +68,5 @@
 			reply.Rank++
 		}
 	}
-	if reply.DemandNumber = int64(now / demandPeriod); reply.DemandNumber != req.Demand {
-		reply.Demand = demandOf(live)
-	}
 	return reply, news || len(reply.Targets) > 0
 }
-
-func demandOf(entries []fleet.Entry) fleet.Demand {
-	demand := fleet.Demand{}
-	for _, e := range entries {
-		for service, rate := range e.Rates {
-			if demand[service] == nil {
-				demand[service] = map[string]float64{}
-			}
-			demand[service][e.Region] += rate
-		}
-	}
-	return demand
-}
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -10,8 +10,6 @@
 	Region  string `cbor:"4,keyasint"`
 	Ready   bool   `cbor:"5,keyasint"` // false while it starts and once it stops
 	Started int64  `cbor:"6,keyasint"` // tells its starts apart
-	// Rates are the requests a second that callers sent it, by service.
-	Rates map[string]float64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Seen is an entry host with the time since a control host heard of it.
@@ -26,6 +24,3 @@
 	Zone   string `cbor:"2,keyasint"`
 	Region string `cbor:"3,keyasint"`
 }
-
-// Demand is the requests a second of a service from callers of each region.
-type Demand map[string]map[string]float64
--- a/internal/fleet/pull.go
+++ b/internal/fleet/pull.go
@@ -20,7 +20,6 @@
 	Epoch    int64          `cbor:"4,keyasint"` // start of the control host whose roster is held
 	Revision uint64         `cbor:"5,keyasint"` // of that roster
 	Controls uint64         `cbor:"6,keyasint"` // digest of the control hosts held
-	Demand   int64          `cbor:"7,keyasint"` // number of the demand held
 	Wait     time.Duration  `cbor:"8,keyasint"`
 	// Reports are what the entry host saw of targets since its last pull.
 	Reports []TargetReport `cbor:"9,keyasint,omitempty"`
@@ -43,9 +42,7 @@
 	Controls []Control `cbor:"8,keyasint,omitempty"`
 	Digest   uint64    `cbor:"9,keyasint"` // of all control hosts
 
-	Demand       Demand `cbor:"10,keyasint,omitempty"`
-	DemandNumber int64  `cbor:"11,keyasint"`
-	Entries      int    `cbor:"12,keyasint"` // live entry hosts
+	Entries int `cbor:"12,keyasint"` // live entry hosts
 	// States are those of targets that changed since StateNumber.
 	States      []TargetState `cbor:"14,keyasint,omitempty"`
 	StateNumber uint64        `cbor:"15,keyasint,omitempty"`
--- a/internal/gateway/codec.go
+++ b/internal/gateway/codec.go
@@ -18,8 +18,6 @@
 type Answer struct {
 	ID          string // of the request that was answered
 	NotExecuted bool   // the target has not run the request and will not
-	Signed      bool   // the response is the target's own
-	Instance    string // name of the target, if it says so
 	Load        *evidence.Load
 	KeepAlive   time.Duration // idle time after which the target closes, 0 if not said
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,9 +20,10 @@
 	// to end.
 	takeFor = 2800 * time.Millisecond
 	// stopCheck is how often a stop looks whether all work has ended.
-	stopCheck    = 50 * time.Millisecond
-	acceptPause  = 10 * time.Millisecond
-	rateInterval = 500 * time.Millisecond
+	stopCheck   = 50 * time.Millisecond
+	acceptPause = 10 * time.Millisecond
+	// housekeepingInterval is the pause between looks at gauges, loads and evidence.
+	housekeepingInterval = 500 * time.Millisecond
 )
 
 // Gateway is a running entry host.
@@ -36,7 +37,6 @@
 	pool    *pool
 	board   *evidence.Board
 	budgets *budgets
-	rates   *rates
 	splits  *splitters
 	cold    *coldLimiter
 	reports *reports
@@ -53,7 +53,7 @@
 // New returns an entry host; Run starts it.
 func New(c Config) *Gateway {
 	g := &Gateway{config: c, log: c.Log, start: time.Now(), started: time.Now().UnixNano(),
-		board: evidence.NewBoard(), callers: map[*caller]bool{}, rates: newRates(), splits: newSplitters(),
+		board: evidence.NewBoard(), callers: map[*caller]bool{}, splits: newSplitters(),
 		reports: newReports(), balance: affinity.NewBalance(), meters: newMeters()}
 	g.large = newDownloads(c.LinkRate)
 	g.view = newView(&g.config)
@@ -69,7 +69,7 @@
 // self describes this host for the control hosts.
 func (g *Gateway) self() fleet.Entry {
 	e := g.config.entry()
-	e.Started, e.Ready, e.Rates = g.started, g.Ready(), g.rates.all()
+	e.Started, e.Ready = g.started, g.Ready()
 	return e
 }
 
@@ -114,7 +114,7 @@
 }
 
 func (g *Gateway) housekeeping(ctx context.Context) {
-	ticker := time.NewTicker(rateInterval)
+	ticker := time.NewTicker(housekeepingInterval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -122,9 +122,8 @@
 			return
 		case <-ticker.C:
 		}
-		g.rates.step(rateInterval)
 		g.observe()
-		g.balance.Step(rateInterval, g.reports.averages(func(name string) bool { _, ok := g.view.targets.Find(name); return ok }))
+		g.balance.Step(housekeepingInterval, g.reports.averages(func(name string) bool { _, ok := g.view.targets.Find(name); return ok }))
 		g.board.Keep(func(k evidence.Key) bool {
 			t, ok := g.view.targets.Find(k.Name)
 			return ok && int64(t.Life) == k.Life
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -62,7 +62,6 @@
 // newDelivery fixes the service and the time limit of a request.
 func (g *Gateway) newDelivery(x *exchange) *delivery {
 	service := g.splits.destination(x.route)
-	g.rates.count(service)
 	g.budgets.request(service, g.now())
 	d := &delivery{gateway: g, exchange: x, service: service, tried: map[string]bool{}, deadline: x.received + x.route.Timeout}
 	if x.call.Left > 0 {
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/hornbeamstack/hornbeamstack/internal/desired"
-	"github.com/hornbeamstack/hornbeamstack/internal/fleet"
 	"github.com/hornbeamstack/hornbeamstack/pkg/affinity"
 	"github.com/hornbeamstack/hornbeamstack/pkg/policy"
 	"github.com/hornbeamstack/hornbeamstack/pkg/roster"
@@ -31,7 +30,6 @@
 	policy    *policy.Policy // nil before the first one
 	orders    uint64         // index of the orders held
 	evacuated []string
-	demand    fleet.Demand
 	entries   int // live entry hosts
 	rank      int // place of this host among them
 
@@ -86,12 +84,6 @@
 	return true
 }
 
-func (v *view) setDemand(d fleet.Demand) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.demand = d
-}
-
 func (v *view) setPlace(rank, entries int) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -48,7 +48,6 @@
 	mu       sync.Mutex
 	controls map[string]*controlState
 	digest   uint64
-	demand   int64
 	fresh    time.Duration // last reply of a control host in contact with a majority
 }
 
@@ -150,7 +149,7 @@
 	self := w.self()
 	w.mu.Lock()
 	req := fleet.PullRequest{Entry: self, Version: version, Orders: orders, Epoch: c.epoch, Revision: c.revision,
-		Controls: w.digest, Demand: w.demand, Wait: pullWait, Reports: w.reports.take(c.control.Peer), StateNumber: c.states}
+		Controls: w.digest, Wait: pullWait, Reports: w.reports.take(c.control.Peer), StateNumber: c.states}
 	address := c.control.Peer
 	w.mu.Unlock()
 	call, cancel := context.WithTimeout(ctx, pullTimeout)
@@ -198,15 +197,12 @@
 	for i := range reply.Targets {
 		w.view.targets.Note(now, reply.Targets[i])
 	}
-	if reply.Demand != nil {
-		w.view.setDemand(reply.Demand)
-	}
 	w.reports.learn(reply.States)
 	w.view.setPlace(reply.Rank, reply.Entries)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	c.states = reply.StateNumber
-	c.epoch, c.revision, w.demand = reply.Epoch, reply.Revision, reply.DemandNumber
+	c.epoch, c.revision = reply.Epoch, reply.Revision
 	if reply.Fresh {
 		w.fresh = now
 	}
