Keep common limits when the number of entry hosts is unknown or falls

Cause: a control host that has just started, or is cut off, sees few entry hosts; each host would take a larger part of the retry budget and of cold targets, and all together more than there is. Change: control hosts name the number after 2 s; it falls by at most 3 in 100 a second; 64 hosts are assumed before. Requests at one target are bounded by this host's part of its connections. Nothing is sent for a caller that has left.

--- a/internal/core/pull.go
+++ b/internal/core/pull.go
@@ -8,6 +8,10 @@
 	"github.com/hornbeamstack/hornbeamstack/pkg/roster"
 )
 
+// entriesSettle is how long a control host that has started listens before it
+// says how many entry hosts there are.
+const entriesSettle = 2 * time.Second
+
 // pull answers an entry host as soon as there is something that it lacks.
 func (n *Node) pull(ctx context.Context, _ string, req fleet.PullRequest) (fleet.PullReply, error) {
 	n.entries.note(n.now(), 0, req.Entry, true)
@@ -62,7 +66,9 @@
 		reply.Controls = controls
 	}
 	live := n.entries.live(now)
-	reply.Entries = len(live)
+	if now > entriesSettle {
+		reply.Entries = len(live)
+	}
 	for i := range live {
 		if live[i].Name < req.Entry.Name {
 			reply.Rank++
--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"strings"
 	"time"
@@ -145,8 +146,44 @@
 
 // attempt sends the request to a target.
 func (d *delivery) attempt(t *roster.Target, e *evidence.Target) attempt {
-	g, x := d.gateway, d.exchange
-	idempotent := x.route.Kind.Idempotent()
+	if d.exchange.ctx.Err() != nil {
+		return attempt{outcome: callerLeft}
+	}
+	if !e.Begin(d.connections()) {
+		return attempt{outcome: unreached, err: errTargetCrowded}
+	}
+	a := d.connectAndSend(t, e)
+	if a.outcome != answered {
+		e.Ended()
+	}
+	return a
+}
+
+// errTargetCrowded says that this host's part of a target's connections is in use.
+var errTargetCrowded = errors.New("this host's connections to the target are all in use")
+
+const (
+	// connectionUse is the part of a target's connections that all entry hosts
+	// share out; the rest covers connections that are being closed.
+	connectionUse = 0.8
+	// minConnections is what a host may open to a target however many hosts there are.
+	minConnections = 4
+)
+
+// connections is this host's part of a target's connections.
+func (d *delivery) connections() int {
+	s := d.exchange.policy.Services[d.service]
+	if s.MaxConnections <= 0 {
+		return math.MaxInt
+	}
+	_, hosts := d.gateway.view.place()
+	return max(minConnections, int(connectionUse*float64(s.MaxConnections)/float64(hosts)))
+}
+
+// connectAndSend takes a kept connection or opens one, and sends the request.
+func (d *delivery) connectAndSend(t *roster.Target, e *evidence.Target) attempt {
+	g := d.gateway
+	idempotent := d.exchange.route.Kind.Idempotent()
 	u := g.pool.get(t.Address, idempotent)
 	if u == nil {
 		var err error
@@ -161,12 +198,8 @@
 			return attempt{outcome: unreached, err: err}
 		}
 	}
-	e.Began()
 	sent := g.now()
 	a := d.send(u, t, e)
-	if a.outcome != answered {
-		e.Ended()
-	}
 	d.judge(t, a, sent)
 	return a
 }
--- a/internal/gateway/delivery_test.go
+++ b/internal/gateway/delivery_test.go
@@ -248,7 +248,7 @@
 		target, _ := f.gateway.view.targets.Find("t0")
 		target.Sequence, target.ColdFor = 2, c.cold
 		f.gateway.view.targets.Note(f.gateway.now(), roster.Report{Announcement: target.Announcement})
-		f.gateway.view.setPlace(0, 1)
+		f.gateway.view.setPlace(f.gateway.now(), 0, 1)
 		f.gateway.reports.take("control")
 		if r, _ := f.do("GET", "/safe/1", "i1", ""); r.StatusCode != 200 {
 			t.Fatalf("status %d", r.StatusCode)
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/hornbeamstack/hornbeamstack/internal/desired"
 	"github.com/hornbeamstack/hornbeamstack/pkg/affinity"
 	"github.com/hornbeamstack/hornbeamstack/pkg/policy"
@@ -17,6 +19,10 @@
 	tableAge = 500 * time.Millisecond
 	// silentLimit is how long a silent target is still used if it works.
 	silentLimit = 8 * time.Second
+	// unknownEntries is the number of entry hosts that is assumed before one is known.
+	unknownEntries = 64
+	// entriesFall is the part by which the number of entry hosts may fall in a second.
+	entriesFall = 0.03
 	// forgetTargets bounds the time a target is remembered without news.
 	forgetTargets = 10 * time.Minute
 )
@@ -30,8 +36,9 @@
 	policy    *policy.Policy // nil before the first one
 	orders    uint64         // index of the orders held
 	evacuated []string
-	entries   int // live entry hosts
-	rank      int // place of this host among them
+	entries   float64       // live entry hosts, falls slowly
+	rank      int           // place of this host among them
+	placed    time.Duration // when the place was last learned
 
 	tables   map[string]*affinity.Table // by service
 	built    time.Duration
@@ -40,7 +47,8 @@
 }
 
 func newView(c *Config) *view {
-	return &view{config: c, targets: roster.New(forgetTargets), entries: 1, stale: true}
+	return &view{config: c, targets: roster.New(forgetTargets), entries: unknownEntries, stale: true,
+		rank: int(xxhash.Sum64String(c.Name) % unknownEntries)}
 }
 
 func (v *view) current() *policy.Policy {
@@ -84,17 +92,27 @@
 	return true
 }
 
-func (v *view) setPlace(rank, entries int) {
+// setPlace takes the place of this host among the live entry hosts; 0 hosts say
+// that the control host does not know yet. The number falls slowly: a control
+// host that is cut off sees fewer entry hosts than share the common limits.
+func (v *view) setPlace(now time.Duration, rank, entries int) {
+	if entries <= 0 {
+		return
+	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.rank, v.entries = rank, max(entries, 1)
+	if v.placed == 0 {
+		v.entries = float64(entries)
+	}
+	fall := max(0, 1-entriesFall*(now-v.placed).Seconds())
+	v.rank, v.entries, v.placed = rank, max(float64(entries), v.entries*fall), now
 }
 
 // place returns the place of this host among all entry hosts.
 func (v *view) place() (rank, entries int) {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
-	return v.rank, v.entries
+	return v.rank, int(v.entries)
 }
 
 // table returns the targets of a service, nil if there are none.
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -198,7 +198,7 @@
 		w.view.targets.Note(now, reply.Targets[i])
 	}
 	w.reports.learn(reply.States)
-	w.view.setPlace(reply.Rank, reply.Entries)
+	w.view.setPlace(now, reply.Rank, reply.Entries)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	c.states = reply.StateNumber
--- a/pkg/evidence/target.go
+++ b/pkg/evidence/target.go
@@ -35,11 +35,16 @@
 	running   int // requests of this host at the target
 }
 
-// Began notes a request that is sent.
-func (t *Target) Began() {
+// Begin notes a request that is to be sent. It reports false, and notes
+// nothing, if limit requests of this host are at the target already.
+func (t *Target) Begin(limit int) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.running >= limit {
+		return false
+	}
 	t.running++
+	return true
 }
 
 // Ended notes the end of a request.
