Never read the rest of a body as a request; pass on signed successes only

Cause 1: when a body longer than 64 KB was answered before it was read (no target took it), the connection went on and the body's bytes were read as requests. Cause 2: a success without the target's signature was passed on. Cause 3: attempts that ended with a rejection counted their end twice, so the bound on a target's connections did not hold. Tests: TestRestOfABodyIsNoRequest (failed with a second answer before), a case of TestFaultyFirstTarget.

--- /dev/null
+++ b/internal/gateway/attempt.go
@@ -0,0 +1,107 @@
+package gateway
+
+import (
+	"errors"
+	"math"
+	"net/http"
+	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/pkg/evidence"
+	"github.com/hornbeamstack/hornbeamstack/pkg/policy"
+	"github.com/hornbeamstack/hornbeamstack/pkg/roster"
+)
+
+// attempt sends the request to a target.
+func (d *delivery) attempt(t *roster.Target, e *evidence.Target) attempt {
+	if d.exchange.ctx.Err() != nil {
+		return attempt{outcome: callerLeft}
+	}
+	if !e.Begin(d.connections()) {
+		return attempt{outcome: unreached, err: errTargetCrowded}
+	}
+	a := d.connectAndSend(t, e)
+	if !a.released {
+		e.Ended()
+	}
+	return a
+}
+
+// errTargetCrowded says that this host's part of a target's connections is in use.
+var errTargetCrowded = errors.New("this host's connections to the target are all in use")
+
+const (
+	// connectionUse is the part of a target's connections that all entry hosts
+	// share out; the rest covers connections that are being closed.
+	connectionUse = 0.8
+	// minConnections is what a host may open to a target however many hosts there are.
+	minConnections = 4
+)
+
+// connections is this host's part of a target's connections.
+func (d *delivery) connections() int {
+	s := d.exchange.policy.Services[d.service]
+	if s.MaxConnections <= 0 {
+		return math.MaxInt
+	}
+	_, hosts := d.gateway.view.place()
+	return max(minConnections, int(connectionUse*float64(s.MaxConnections)/float64(hosts)))
+}
+
+// connectAndSend takes a kept connection or opens one, and sends the request.
+func (d *delivery) connectAndSend(t *roster.Target, e *evidence.Target) attempt {
+	g := d.gateway
+	idempotent := d.exchange.route.Kind.Idempotent()
+	u := g.pool.get(t.Address, idempotent)
+	if u == nil {
+		var err error
+		limit := min(targetDialTimeout, d.deadline-g.now())
+		if limit <= 0 {
+			return attempt{outcome: timedOut}
+		}
+		if u, err = g.pool.dial(t.Address, limit); err != nil {
+			if countsAgainstTarget(limit, err) {
+				e.Unreachable(g.now())
+			}
+			return attempt{outcome: unreached, err: err}
+		}
+	}
+	sent := g.now()
+	a := d.send(u, t, e)
+	d.judge(t, a, sent)
+	return a
+}
+
+// countsAgainstTarget reports whether a dial that failed says something about
+// the target. One that was cut short by the request's own end does not.
+func countsAgainstTarget(limit time.Duration, err error) bool {
+	return limit == targetDialTimeout || !isTimeout(err)
+}
+
+// slowFactor is how many times the objective of its route a request may take
+// before it counts as failed work of its target. Cold work stays below.
+const slowFactor = 2
+
+// judge tells the control hosts how the target did.
+func (d *delivery) judge(t *roster.Target, a attempt, sent time.Duration) {
+	g := d.gateway
+	took := g.now() - sent
+	slow := slowFactor * d.exchange.route.Objective
+	if t.Cold(sent) || d.exchange.route.Kind == policy.Download {
+		// A target that has just started is slow without a fault, and the time of
+		// a download depends on this host's own link.
+		slow = 0
+	}
+	switch a.outcome {
+	case answered:
+		failed := a.reply.status >= http.StatusInternalServerError
+		g.reports.work(t.Name, !failed && (slow == 0 || took < slow))
+	case targetError, broken:
+		g.reports.work(t.Name, false)
+	case timedOut:
+		if slow > 0 && took >= slow/2 {
+			// Only the comparison with other targets tells a slow one from a busy
+			// service, so this is no evidence of its own.
+			g.reports.work(t.Name, false)
+		}
+	}
+}
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 )
 
 const (
@@ -28,6 +29,9 @@
 	length int64     // of the whole body, -1 if unknown
 	once   sync.Once
 	done   chan struct{} // closed when nothing more is read from the caller for this body
+
+	started atomic.Bool // a target is being sent the body
+	arrived atomic.Bool // all of the body was read from the caller
 }
 
 // readBody reads the body of a request up to bufferedBody.
@@ -60,13 +64,20 @@
 		}
 	}
 	b.prefix = prefix
-	b.rest = &boundedReader{reader: r.Body, left: limit - int64(len(prefix)), bounded: limit > 0}
+	b.rest = &boundedReader{reader: r.Body, left: limit - int64(len(prefix)), bounded: limit > 0, atEnd: func() { b.arrived.Store(true) }}
 	return b, nil
 }
 
 // repeatable reports whether the body can be sent again.
 func (b *requestBody) repeatable() bool { return b.rest == nil }
 
+// begin says that the body is passed on from now on, which ends by itself.
+func (b *requestBody) begin() { b.started.Store(true) }
+
+// unread reports whether the caller's connection still holds bytes of the body,
+// so that no request can be read from it.
+func (b *requestBody) unread() bool { return b.rest != nil && !b.arrived.Load() }
+
 // end says that nothing more is read from the caller for this body.
 func (b *requestBody) end() { b.once.Do(func() { close(b.done) }) }
 
@@ -75,10 +86,14 @@
 	reader  io.Reader
 	left    int64
 	bounded bool
+	atEnd   func()
 }
 
 func (r *boundedReader) Read(p []byte) (int, error) {
 	n, err := r.reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		r.atEnd()
+	}
 	if r.bounded {
 		if r.left -= int64(n); r.left < 0 {
 			return 0, errBodyTooLarge
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -92,7 +92,7 @@
 		case <-c.ctx.Done():
 			return
 		}
-		if request.Close {
+		if request.Close || x.body.unread() {
 			c.awaitEnd()
 			return
 		}
--- a/internal/gateway/caller_test.go
+++ b/internal/gateway/caller_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/pkg/policy"
 )
 
 // Guards against reading a request only after the answer to the one before.
@@ -182,3 +184,45 @@
 		})
 	}
 }
+
+// Guards against taking the rest of a body for the next request: when a long
+// body is answered before it was read, the connection ends.
+func TestRestOfABodyIsNoRequest(t *testing.T) {
+	hidden := request("POST", "/unsafe/1", "hidden", "x")
+	long := strings.Repeat("0", bufferedBody) + strings.Repeat(hidden, 200)
+	silent := func(*fakeTarget, net.Conn, *http.Request) {}
+	for name, spoil := range map[string]func(*fixture){
+		"a target that does not answer":    func(*fixture) {},
+		"no target that takes the request": func(f *fixture) { _ = f.targets[0].listener.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, silent, ok)
+			order := f.order(policy.Unsafe)
+			f.targets[order[0]].script, f.targets[order[1]].script = silent, ok
+			_ = f.targets[order[1]].listener.Close()
+			if order[0] != 0 {
+				f.targets[0], f.targets[order[0]] = f.targets[order[0]], f.targets[0]
+			}
+			spoil(f)
+			conn, br := f.dial()
+			go fmt.Fprintf(conn, "POST /unsafe/1 HTTP/1.1\r\nHost: h\r\nId: outer\r\nObject: a\r\nLeft: 300\r\nContent-Length: %d\r\n\r\n%s", len(long), long)
+			r, err := http.ReadResponse(br, nil)
+			if err != nil {
+				t.Fatalf("no answer: %v", err)
+			}
+			if _, err := io.ReadAll(r.Body); err != nil || r.StatusCode < 500 {
+				t.Errorf("status %d, %v", r.StatusCode, err)
+			}
+			if second, err := http.ReadResponse(br, nil); err == nil {
+				t.Errorf("a second answer, %d, to one request", second.StatusCode)
+			}
+			for _, target := range f.targets {
+				for _, id := range target.ids() {
+					if id == "hidden" {
+						t.Fatal("bytes of the body ran as a request")
+					}
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/gateway/choose.go
@@ -0,0 +1,68 @@
+package gateway
+
+import (
+	"github.com/hornbeamstack/hornbeamstack/pkg/affinity"
+	"github.com/hornbeamstack/hornbeamstack/pkg/evidence"
+	"github.com/hornbeamstack/hornbeamstack/pkg/roster"
+)
+
+// homes is the number of targets that an object is kept warm on.
+const homes = 2
+
+// tryShare is the number of requests of which one goes to a failing target, so
+// that its recovery is seen.
+const tryShare = 12
+
+// tries reports whether a request goes to a failing target all the same.
+func (g *Gateway) tries(id string) bool { return affinity.Object("try", id)%tryShare == 0 }
+
+// choose returns the target for the next attempt of a request.
+func (g *Gateway) choose(d *delivery) (roster.Target, *evidence.Target, bool) {
+	now := g.now()
+	table := g.view.table(now, d.service)
+	if table == nil {
+		return roster.Target{}, nil, false
+	}
+	key := d.exchange.call.Object
+	if key == "" || !d.exchange.route.Sticky {
+		key = d.exchange.call.ID
+	}
+	object := affinity.Object(d.service+d.exchange.route.Prefix, key)
+	order := table.Order(g.config.Region, object, d.exchange.route.Allows)
+	if len(order) >= homes && order[0].Region == order[1].Region && g.balance.Moves(object, order[0].Name, order[1].Name) {
+		order[0], order[1] = order[1], order[0]
+	}
+	var best roster.Target
+	var bestEvidence *evidence.Target
+	verdict := evidence.Down + 1
+	for i, candidate := range order {
+		if d.tried[candidate.Name] {
+			continue
+		}
+		if i >= homes && verdict <= evidence.Full {
+			break // a long queue at a warm target is shorter than cold work elsewhere
+		}
+		t, ok := g.view.targets.Find(candidate.Name)
+		if !ok {
+			continue
+		}
+		if t.Cold(now) && !g.cold.allowed(now, &t, d.exchange.policy) {
+			continue
+		}
+		e := g.board.Of(evidence.Key{Name: t.Name, Life: int64(t.Life)})
+		v := e.Verdict(now)
+		if v < evidence.Doubtful && g.reports.failing(t.Name) && !g.tries(d.exchange.call.ID) {
+			v = evidence.Doubtful
+		}
+		if v < verdict {
+			best, bestEvidence, verdict = t, e, v
+			if v == evidence.Good {
+				break
+			}
+		}
+	}
+	if bestEvidence != nil && best.Cold(now) {
+		g.cold.sent(now, best.Name)
+	}
+	return best, bestEvidence, bestEvidence != nil
+}
--- a/internal/gateway/codec.go
+++ b/internal/gateway/codec.go
@@ -19,6 +19,7 @@
 	ID          string // of the request that was answered
 	NotExecuted bool   // the target has not run the request and will not
 	Load        *evidence.Load
+	Signed      bool          // the response is the target's own
 	KeepAlive   time.Duration // idle time after which the target closes, 0 if not said
 }
 
--- a/internal/gateway/delivery_test.go
+++ b/internal/gateway/delivery_test.go
@@ -52,6 +52,9 @@
 			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 100\r\n\r\nshort", r.Header.Get("Id"))
 			_ = c.Close()
 		}, 502, 0},
+		{"a success without a signature is not passed on", policy.Unsafe, func(_ *fakeTarget, c net.Conn, r *http.Request) {
+			answer(c, 200, r.Header.Get("Id"), "wrong", "Unsigned: 1")
+		}, 502, 0},
 		{"failed safe work repeats", policy.Safe, runs(500, "failed"), 200, 1},
 		{"failed unsafe work is passed on", policy.Unsafe, runs(500, "failed"), 500, 0},
 		{"a target's plain 503 to unsafe work may have run", policy.Unsafe, runs(503, "busy"), 503, 0},
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -34,7 +34,7 @@
 }
 
 func (fakeCodec) Answer(status int, h http.Header) Answer {
-	return Answer{ID: h.Get("Id"), NotExecuted: h.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest}
+	return Answer{ID: h.Get("Id"), Signed: h.Get("Unsigned") == "", NotExecuted: h.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest}
 }
 
 func (fakeCodec) Refuse(h http.Header, pause time.Duration) {
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -23,6 +23,7 @@
 
 var (
 	errConnectionEnded = errors.New("the target closed the connection")
+	errUnsigned        = errors.New("the success is not signed by the target")
 	errWrongAnswer     = errors.New("the target answered another request")
 )
 
