--- /dev/null
+++ b/internal/gateway/watch_test.go
@@ -0,0 +1,116 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/desired"
+	"github.com/hornbeamstack/hornbeamstack/internal/fleet"
+	"github.com/hornbeamstack/hornbeamstack/internal/peer"
+	"github.com/hornbeamstack/hornbeamstack/pkg/finding"
+	"github.com/hornbeamstack/hornbeamstack/pkg/policy"
+	"github.com/hornbeamstack/hornbeamstack/pkg/roster"
+)
+
+// fakeControl is a control host that answers pulls by a script.
+type fakeControl struct {
+	address string
+	mu      sync.Mutex
+	reply   func(fleet.PullRequest) fleet.PullReply
+	pulls   int
+}
+
+func newFakeControl(t *testing.T, reply func(fleet.PullRequest) fleet.PullReply) *fakeControl {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &fakeControl{address: l.Addr().String(), reply: reply}
+	server := peer.NewServer("control")
+	peer.Register(server, fleet.MethodPull, func(_ context.Context, _ string, req fleet.PullRequest) (fleet.PullReply, error) {
+		time.Sleep(5 * time.Millisecond)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.pulls++
+		return c.reply(req), nil
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = server.Serve(ctx, l) // it ends with ctx
+	}()
+	t.Cleanup(func() { cancel(); <-done })
+	return c
+}
+
+func (c *fakeControl) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pulls
+}
+
+// Guards against an entry host that waits for a control host which is down or
+// cut off, that goes back to older news, or that is ready before it has any.
+func TestWatchTurnsToControlHostsInContact(t *testing.T) {
+	document := func(v policy.Version) *desired.Document { return &desired.Document{Version: v, Body: []byte{byte(v)}} }
+	stale := newFakeControl(t, func(fleet.PullRequest) fleet.PullReply {
+		return fleet.PullReply{Fresh: false, Document: document(1)}
+	})
+	fresh := newFakeControl(t, func(req fleet.PullRequest) fleet.PullReply {
+		reply := fleet.PullReply{Fresh: true, Index: 4, Entries: 9, Rank: 2}
+		if req.Version < 7 {
+			reply.Document = document(7)
+		}
+		if req.Orders < 4 {
+			reply.Orders = &desired.Orders{Evacuated: []string{"z9"}, Departures: []desired.Departure{{Name: "t", Life: 3}}}
+		}
+		return reply
+	})
+	dead, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = dead.Close()
+	client := peer.NewClient("g")
+	t.Cleanup(client.Close)
+	g := New(Config{Name: "g", Zone: "z", Region: "r", Seeds: []string{dead.Addr().String(), stale.address, fresh.address}, RetryWindow: time.Second,
+		Client: client, Log: log.New(io.Discard), Codec: fakeCodec{},
+		Decode: func(body []byte) (*policy.Policy, finding.List) {
+			return &policy.Policy{Version: policy.Version(body[0])}, nil
+		}})
+	if g.Ready() {
+		t.Error("ready without any news")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		g.watch.run(ctx)
+	}()
+	defer func() { cancel(); <-done }()
+	for fresh.count() < 20 || stale.count() < 2 || !g.Ready() {
+		time.Sleep(time.Millisecond) // the test's own time limit ends a wait without end
+	}
+	version, orders := g.view.versions()
+	if version != 7 || orders != 4 {
+		t.Errorf("in force: version %d, orders %d", version, orders)
+	}
+	if rank, hosts := g.view.place(); rank != 2 || hosts != 9 {
+		t.Errorf("place %d of %d", rank, hosts)
+	}
+	g.view.targets.Note(g.now(), roster.Report{Announcement: roster.Announcement{Name: "t", Life: 3, Sequence: 1}})
+	if target, _ := g.view.targets.Find("t"); !target.Leaving {
+		t.Error("a departure is lost because it came before the announcement")
+	}
+	if fresh.count() < 3*stale.count() {
+		t.Errorf("%d pulls from the control host in contact, %d from the other", fresh.count(), stale.count())
+	}
+}
