Soak: say that the deployment exists only after the first order

The test's fault, not the product's: a host without a history must not found unless it is told so. Change: settings are rewritten after the first acknowledgement; seed 1000 stays as a regression case; logs of a failed seed are kept in every case.

--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -18,7 +18,10 @@
 )
 
 // fixedSeeds are run in each test. A seed that ever failed stays, with its cause.
-var fixedSeeds = []uint64{1, 2}
+var fixedSeeds = []uint64{
+	1, 2,
+	1000, // the soak said "not the first start" before a slow process had read its settings, so nobody founded
+}
 
 // binaries is the folder of the programs, built once for all seeds.
 var binaries string
@@ -70,6 +73,9 @@
 		for _, m := range w.members {
 			m.process.Kill()
 		}
+		if t.Failed() {
+			w.keep()
+		}
 	}()
 	for i := range 6 {
 		target, err := newTarget(w, fmt.Sprintf("t%d-%d", seed, i), fmt.Sprintf("z%d", i%3))
@@ -79,6 +85,7 @@
 		w.targets = append(w.targets, target)
 	}
 	w.await("the first version is acknowledged", func() bool { return w.put(1, 1) })
+	w.founded()
 	w.await("a request is served", func() bool {
 		r, err := w.client.Get("http://" + w.fronts[0] + "/none/")
 		if err != nil {
@@ -110,13 +117,15 @@
 	for _, f := range w.findings {
 		t.Error(f)
 	}
-	if t.Failed() {
-		keep := fmt.Sprintf("%s/hornbeam-soak-%d", os.TempDir(), seed)
-		if err := os.CopyFS(keep, os.DirFS(w.folder)); err != nil {
-			t.Logf("logs cannot be kept: %v", err)
-		}
-		t.Logf("seed %d: logs in %s", seed, keep)
+}
+
+// keep copies the logs of a seed that failed to a folder that stays.
+func (w *world) keep() {
+	folder := fmt.Sprintf("%s/hornbeam-soak-logs-%d", os.TempDir(), w.seed)
+	if err := os.CopyFS(folder, os.DirFS(w.folder)); err != nil {
+		w.t.Logf("not all logs could be kept: %v", err)
 	}
+	w.t.Logf("seed %d: logs in %s", w.seed, folder)
 }
 
 func (w *world) await(what string, condition func() bool) {
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -105,22 +105,33 @@
 			w.fronts = append(w.fronts, ip(i)+":8103")
 		}
 		m.data, m.settings = filepath.Join(w.folder, m.name+"-data"), filepath.Join(w.folder, m.name+".toml")
-		w.configure(m, ip(i), i, seeds, listen, true)
+		w.configure(m, ip(i), i, seeds, listen)
 		w.members = append(w.members, m)
 	}
 	for _, m := range w.members {
 		w.start(m)
 	}
-	for i, m := range w.members[:cores] { // later starts find an existing deployment
-		w.configure(m, ip(i), i, seeds, fmt.Sprintf("Control = %q\nDirectory = %q", ip(i)+":8101", ip(i)+":8102"), false)
-	}
 	return w
 }
 
-func (w *world) configure(m *member, ip string, i int, seeds []string, listen string, first bool) {
-	text := fmt.Sprintf("NodeName = %q\nIp = %q\nZone = \"z%d\"\nRegion = \"r%d\"\nInternalPortRange = [8110, 8115]\nSeeds = [%s]\nBootstrap = %v\nDataDir = %q\nHeartbeatS = %v\n"+
+// founded tells later starts that the deployment exists. Doing so before the
+// first order is acknowledged would reach a process that is slow to start.
+func (w *world) founded() {
+	for _, m := range w.members {
+		text, err := os.ReadFile(m.settings)
+		if err == nil {
+			err = os.WriteFile(m.settings, bytes.Replace(text, []byte("Bootstrap = true"), []byte("Bootstrap = false"), 1), 0o600)
+		}
+		if err != nil {
+			w.t.Fatal(err)
+		}
+	}
+}
+
+func (w *world) configure(m *member, ip string, i int, seeds []string, listen string) {
+	text := fmt.Sprintf("NodeName = %q\nIp = %q\nZone = \"z%d\"\nRegion = \"r%d\"\nInternalPortRange = [8110, 8115]\nSeeds = [%s]\nBootstrap = true\nDataDir = %q\nHeartbeatS = %v\n"+
 		"Bounds = [\"GraceS=%v\", \"RetryBudgetRatio=0.2\", \"RetryBudgetSlack=100\", \"BudgetWindowS=10\"]\n[Zones]\nz0 = \"r0\"\nz1 = \"r1\"\nz2 = \"r0\"\n[Listen]\n%s\n[Limits]\nMemoryMb = 200\n",
-		m.name, ip, i%3, i%2, strings.Join(seeds, ", "), first, m.data, heartbeat.Seconds(), grace.Seconds(), listen)
+		m.name, ip, i%3, i%2, strings.Join(seeds, ", "), m.data, heartbeat.Seconds(), grace.Seconds(), listen)
 	if err := os.WriteFile(m.settings, []byte(text), 0o600); err != nil {
 		w.t.Fatal(err)
 	}
