--- a/internal/platformnode/core.go
+++ b/internal/platformnode/core.go
@@ -32,7 +32,7 @@
 	}
 	n := core.Start(ctx, core.Config{
 		Name: s.Ip, Peer: s.PeerAddress(), Zone: s.Zone, Region: s.Region, Folder: s.DataDir, Seeds: s.SeedPeers(),
-		Found: s.Bootstrap, Heartbeat: secondsOf(s.HeartbeatS),
+		Found: s.Bootstrap, Heartbeat: s.Heartbeat(),
 		Server: server, Client: client, Log: l,
 	})
 	go func() { _ = server.Serve(ctx, listener) }() // it ends with ctx
--- a/internal/platformnode/gateway.go
+++ b/internal/platformnode/gateway.go
@@ -16,8 +16,6 @@
 // stopReserve is the part of the time for a stop that is left for the exit.
 const stopReserve = 300 * time.Millisecond
 
-func secondsOf(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
-
 // RunGateway runs an entry host until SIGTERM.
 func RunGateway(s *platform.Settings) error {
 	limitMemory(s)
