Move what a hop to a target needs into internal/hop

Connections to targets, their pool, the header codec and the copying of headers leave internal/gateway without a change of behaviour, so that relays can use them. A connection remembers its address; its read buffer is 4 KB, enough for the answers of most requests, since a relay keeps many connections. Tests of internal/gateway and platform pass.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/hornbeamstack/hornbeamstack/internal/hop"
 	"github.com/hornbeamstack/hornbeamstack/pkg/evidence"
 	"github.com/hornbeamstack/hornbeamstack/pkg/policy"
 	"github.com/hornbeamstack/hornbeamstack/pkg/roster"
@@ -51,14 +52,14 @@
 func (d *delivery) connectAndSend(t *roster.Target, e *evidence.Target) attempt {
 	g := d.gateway
 	idempotent := d.exchange.route.Kind.Idempotent()
-	u := g.pool.get(t.Address, idempotent)
+	u := g.pool.Get(t.Address, idempotent)
 	if u == nil {
 		var err error
-		limit := min(targetDialTimeout, d.deadline-g.now())
+		limit := min(hop.DialTimeout, d.deadline-g.now())
 		if limit <= 0 {
 			return attempt{outcome: timedOut}
 		}
-		if u, err = g.pool.dial(t.Address, limit); err != nil {
+		if u, err = g.pool.Dial(t.Address, limit); err != nil {
 			if countsAgainstTarget(limit, err) {
 				e.Unreachable(g.now())
 			}
@@ -74,7 +75,7 @@
 // countsAgainstTarget reports whether a dial that failed says something about
 // the target. One that was cut short by the request's own end does not.
 func countsAgainstTarget(limit time.Duration, err error) bool {
-	return limit == targetDialTimeout || !isTimeout(err)
+	return limit == hop.DialTimeout || !isTimeout(err)
 }
 
 // slowFactor is how many times the objective of its route a request may take
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -6,6 +6,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/hornbeamstack/hornbeamstack/internal/fleet"
+	"github.com/hornbeamstack/hornbeamstack/internal/hop"
 	"github.com/hornbeamstack/hornbeamstack/internal/peer"
 	"github.com/hornbeamstack/hornbeamstack/pkg/finding"
 	"github.com/hornbeamstack/hornbeamstack/pkg/policy"
@@ -25,7 +26,7 @@
 	ColdOverage float64 // factor above the stated rate that a cold target still bears
 	ColdSlack   float64 // requests a second that it bears besides
 	LinkRate    float64 // bytes a second of this host's own link, 0 if unknown
-	Codec       Codec
+	Codec       hop.Codec
 	Decode      func(body []byte) (*policy.Policy, finding.List)
 	Client      *peer.Client
 	Log         *log.Logger
--- a/internal/gateway/delivery_test.go
+++ b/internal/gateway/delivery_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/hornbeamstack/hornbeamstack/internal/hop"
 	"github.com/hornbeamstack/hornbeamstack/pkg/policy"
 	"github.com/hornbeamstack/hornbeamstack/pkg/roster"
 )
@@ -273,8 +274,8 @@
 		err   error
 		want  bool
 	}{
-		{20 * time.Millisecond, timeout, false}, {targetDialTimeout, timeout, true},
-		{20 * time.Millisecond, refused, true}, {targetDialTimeout, refused, true},
+		{20 * time.Millisecond, timeout, false}, {hop.DialTimeout, timeout, true},
+		{20 * time.Millisecond, refused, true}, {hop.DialTimeout, refused, true},
 	} {
 		if got := countsAgainstTarget(c.limit, c.err); got != c.want {
 			t.Errorf("limit %s, %v: counts %v", c.limit, c.err, got)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -6,13 +6,14 @@
 	"net/http"
 	"time"
 
+	"github.com/hornbeamstack/hornbeamstack/internal/hop"
 	"github.com/hornbeamstack/hornbeamstack/pkg/policy"
 )
 
 // exchange is one request of a caller and its answer.
 type exchange struct {
 	request  *http.Request
-	call     Call
+	call     hop.Call
 	received time.Duration // when the header had arrived
 	body     *requestBody
 	route    *policy.Route
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/hornbeamstack/hornbeamstack/internal/hop"
 	"github.com/hornbeamstack/hornbeamstack/internal/peer"
 	"github.com/hornbeamstack/hornbeamstack/pkg/policy"
 	"github.com/hornbeamstack/hornbeamstack/pkg/roster"
@@ -23,9 +24,9 @@
 // fakeCodec uses short header names of its own.
 type fakeCodec struct{}
 
-func (fakeCodec) Call(h http.Header) Call {
+func (fakeCodec) Call(h http.Header) hop.Call {
 	ms, _ := strconv.Atoi(h.Get("Left"))
-	return Call{ID: h.Get("Id"), Object: h.Get("Object"), Left: time.Duration(ms) * time.Millisecond}
+	return hop.Call{ID: h.Get("Id"), Object: h.Get("Object"), Left: time.Duration(ms) * time.Millisecond}
 }
 
 func (fakeCodec) Forward(h http.Header, left time.Duration, target string) {
@@ -33,8 +34,8 @@
 	h.Set("Target", target)
 }
 
-func (fakeCodec) Answer(status int, h http.Header) Answer {
-	return Answer{ID: h.Get("Id"), Signed: h.Get("Unsigned") == "", NotExecuted: h.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest}
+func (fakeCodec) Answer(status int, h http.Header) hop.Answer {
+	return hop.Answer{ID: h.Get("Id"), Signed: h.Get("Unsigned") == "", NotExecuted: h.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest}
 }
 
 func (fakeCodec) Refuse(h http.Header, pause time.Duration) {
@@ -197,7 +198,7 @@
 	f.t.Helper()
 	d := &delivery{gateway: f.gateway, service: "s", tried: map[string]bool{}}
 	p := f.gateway.view.current()
-	d.exchange = &exchange{call: Call{Object: "a"}, policy: p, route: p.Match("h", "/"+kind.String()+"/")}
+	d.exchange = &exchange{call: hop.Call{Object: "a"}, policy: p, route: p.Match("h", "/"+kind.String()+"/")}
 	var list []int
 	for {
 		t, _, found := f.gateway.choose(d)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -4,60 +4,28 @@
 	"bytes"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"strconv"
-	"strings"
 	"time"
 
+	"github.com/hornbeamstack/hornbeamstack/internal/hop"
 	"github.com/hornbeamstack/hornbeamstack/pkg/roster"
 )
 
-// connectionHeaders concern one connection only.
-var connectionHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length"}
-
-// passedOn copies headers without those that concern one connection.
-func passedOn(h http.Header) http.Header {
-	copied := h.Clone()
-	for _, line := range h.Values("Connection") {
-		for _, name := range strings.Split(line, ",") {
-			copied.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range connectionHeaders {
-		copied.Del(name)
-	}
-	return copied
-}
-
 // forwarded is the request for a target.
 func (d *delivery) forwarded(t *roster.Target, left time.Duration) *http.Request {
 	x := d.exchange
-	header := passedOn(x.request.Header)
+	header := hop.PassedOn(x.request.Header)
 	header.Del("Expect")
 	d.gateway.config.Codec.Forward(header, left, t.Name)
 	return &http.Request{Method: x.request.Method, URL: x.request.URL, RequestURI: x.request.RequestURI, Host: x.request.Host, Header: header}
 }
 
 // writeRequest sends a request with its body.
-func writeRequest(conn net.Conn, r *http.Request, body *requestBody) error {
+func writeRequest(conn io.Writer, r *http.Request, body *requestBody) error {
 	var b bytes.Buffer
-	uri := r.RequestURI
-	if !strings.HasPrefix(uri, "/") {
-		uri = r.URL.RequestURI()
-	}
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, uri, r.Host)
-	chunked := body.length < 0
-	switch {
-	case chunked:
-		r.Header.Set("Transfer-Encoding", "chunked")
-	case body.length > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch:
-		r.Header.Set("Content-Length", strconv.FormatInt(body.length, 10))
-	}
-	if err := r.Header.Write(&b); err != nil {
+	if err := hop.WriteHead(&b, r, body.length); err != nil {
 		return err
 	}
-	b.WriteString("\r\n")
 	if body.rest == nil {
 		b.Write(body.prefix)
 		_, err := conn.Write(b.Bytes())
@@ -66,7 +34,7 @@
 	if _, err := conn.Write(b.Bytes()); err != nil {
 		return err
 	}
-	if !chunked {
+	if body.length >= 0 {
 		_, err := io.Copy(conn, io.MultiReader(bytes.NewReader(body.prefix), body.rest))
 		return err
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/hornbeamstack/hornbeamstack/internal/fleet"
+	"github.com/hornbeamstack/hornbeamstack/internal/hop"
 	"github.com/hornbeamstack/hornbeamstack/pkg/affinity"
 	"github.com/hornbeamstack/hornbeamstack/pkg/evidence"
 )
@@ -34,7 +35,7 @@
 	started int64
 	view    *view
 	watch   *watch
-	pool    *pool
+	pool    *hop.Pool
 	board   *evidence.Board
 	budgets *budgets
 	splits  *splitters
@@ -58,7 +59,7 @@
 	g.large = newDownloads(c.LinkRate)
 	g.view = newView(&g.config)
 	g.watch = newWatch(&g.config, g.view, g.now, g.self, g.reports)
-	g.pool = newPool(c.Codec, g.now)
+	g.pool = hop.NewPool(c.Codec, g.now)
 	g.budgets = newBudgets(&g.config)
 	g.cold = newColdLimiter(&g.config, g.view)
 	return g
--- a/internal/gateway/meters.go
+++ b/internal/gateway/meters.go
@@ -72,6 +72,6 @@
 	g.meters.gauge("fleet.rank", int64(rank))
 	g.meters.gauge("targets.known", int64(len(g.view.targets.All())))
 	g.meters.gauge("callers.open", int64(callers))
-	g.meters.gauge("targets.idle_connections", int64(g.pool.size()))
+	g.meters.gauge("targets.idle_connections", int64(g.pool.Size()))
 	g.meters.gauge("control.age_ms", g.watch.age().Milliseconds())
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -6,31 +6,32 @@
 	"net/http"
 	"time"
 
+	"github.com/hornbeamstack/hornbeamstack/internal/hop"
 	"github.com/hornbeamstack/hornbeamstack/pkg/evidence"
 	"github.com/hornbeamstack/hornbeamstack/pkg/policy"
 	"github.com/hornbeamstack/hornbeamstack/pkg/roster"
 )
 
 // send writes the request to a connection and waits for the response.
-func (d *delivery) send(u *upstream, t *roster.Target, e *evidence.Target) attempt {
+func (d *delivery) send(u *hop.Conn, t *roster.Target, e *evidence.Target) attempt {
 	g, x := d.gateway, d.exchange
 	left := d.deadline - g.now()
 	if left <= 0 {
-		u.abort()
+		u.Abort()
 		return attempt{outcome: timedOut}
 	}
 	request := d.forwarded(t, left)
-	responses, ok := u.expect(request, x.call.ID)
+	responses, ok := u.Expect(request, x.call.ID)
 	if !ok {
-		return attempt{outcome: unreached, err: errConnectionEnded}
+		return attempt{outcome: unreached, err: hop.ErrConnectionEnded}
 	}
-	_ = u.conn.SetWriteDeadline(time.Now().Add(left)) // the write reports a connection that has ended
+	u.SetWriteDeadline(time.Now().Add(left)) // the write reports a connection that has ended
 	sent := make(chan error, 1)
 	if x.body.rest == nil {
-		sent <- writeRequest(u.conn, request, x.body)
+		sent <- writeRequest(u, request, x.body)
 	} else {
 		x.body.begin()
-		go func() { sent <- writeRequest(u.conn, request, x.body); x.body.end() }()
+		go func() { sent <- writeRequest(u, request, x.body); x.body.end() }()
 	}
 	timer := time.NewTimer(left)
 	defer timer.Stop()
@@ -44,37 +45,40 @@
 		}
 		return d.received(u, t, e, r, complete)
 	case <-timer.C:
-		u.abort()
+		u.Abort()
 		return attempt{outcome: timedOut}
 	case <-x.ctx.Done():
-		u.abort()
+		u.Abort()
 		return attempt{outcome: callerLeft}
 	}
 }
 
+// errUnsigned says that a success may not be the target's own.
+var errUnsigned = errors.New("the success is not signed by the target")
+
 // received judges a response. complete says that the whole request was sent.
-func (d *delivery) received(u *upstream, t *roster.Target, e *evidence.Target, r result, complete bool) attempt {
+func (d *delivery) received(u *hop.Conn, t *roster.Target, e *evidence.Target, r hop.Result, complete bool) attempt {
 	now := d.gateway.now()
-	if r.err != nil {
-		u.abort()
+	if r.Err != nil {
+		u.Abort()
 		e.Failed(now)
-		if errors.Is(r.err, errConnectionEnded) && u.fresh {
+		if errors.Is(r.Err, hop.ErrConnectionEnded) && u.Fresh() {
 			e.Unreachable(now)
 		}
-		return attempt{outcome: broken, err: r.err}
+		return attempt{outcome: broken, err: r.Err}
 	}
-	if r.response.StatusCode < http.StatusMultipleChoices && !r.answer.Signed {
-		u.abort()
+	if r.Response.StatusCode < http.StatusMultipleChoices && !r.Answer.Signed {
+		u.Abort()
 		e.Failed(now)
 		return attempt{outcome: broken, err: errUnsigned}
 	}
-	if r.answer.Load != nil {
-		e.Loaded(now, *r.answer.Load)
-		d.gateway.reports.load(t.Name, *r.answer.Load)
+	if r.Answer.Load != nil {
+		e.Loaded(now, *r.Answer.Load)
+		d.gateway.reports.load(t.Name, *r.Answer.Load)
 	}
-	u.keepAlive = r.answer.KeepAlive
+	u.SetKeepAlive(r.Answer.KeepAlive)
 	a := d.readAnswer(u, t, e, r, complete)
-	if r.answer.NotExecuted {
+	if r.Answer.NotExecuted {
 		if a.reply != nil && a.reply.finish != nil {
 			a.reply.finish(true)
 		}
@@ -84,7 +88,7 @@
 		e.Failed(now)
 		return a
 	}
-	if r.response.StatusCode >= http.StatusInternalServerError {
+	if r.Response.StatusCode >= http.StatusInternalServerError {
 		e.Failed(now)
 		if d.exchange.route.Kind.Idempotent() {
 			a.outcome = targetError
@@ -96,9 +100,9 @@
 }
 
 // readAnswer reads the response as far as it is held in memory.
-func (d *delivery) readAnswer(u *upstream, t *roster.Target, e *evidence.Target, r result, complete bool) attempt {
-	response := r.response
-	reply := &reply{status: response.StatusCode, header: passedOn(response.Header), length: response.ContentLength}
+func (d *delivery) readAnswer(u *hop.Conn, t *roster.Target, e *evidence.Target, r hop.Result, complete bool) attempt {
+	response := r.Response
+	reply := &reply{status: response.StatusCode, header: hop.PassedOn(response.Header), length: response.ContentLength}
 	stop := d.watchCaller(u)
 	limit := bufferedAnswer
 	if d.exchange.route.Kind == policy.Download {
@@ -116,7 +120,7 @@
 	}
 	if err != nil && err != io.EOF {
 		stop()
-		u.abort()
+		u.Abort()
 		if d.exchange.ctx.Err() != nil {
 			return attempt{outcome: callerLeft}
 		}
@@ -132,19 +136,19 @@
 		if response.ContentLength < 0 || d.exchange.request.Method != http.MethodHead {
 			reply.length = int64(len(head))
 		}
-		d.release(u, t, e, reusable)
+		d.release(u, e, reusable)
 		return attempt{outcome: answered, reply: reply, released: true}
 	}
 	reply.rest = response.Body
 	reply.finish = func(sent bool) {
 		stop()
-		d.release(u, t, e, sent && reusable)
+		d.release(u, e, sent && reusable)
 	}
 	return attempt{outcome: answered, reply: reply, released: true}
 }
 
 // watchCaller ends the connection if the caller leaves or the time is over.
-func (d *delivery) watchCaller(u *upstream) (stop func()) {
+func (d *delivery) watchCaller(u *hop.Conn) (stop func()) {
 	done := make(chan struct{})
 	timer := time.NewTimer(d.deadline - d.gateway.now())
 	go func() {
@@ -152,20 +156,20 @@
 		select {
 		case <-done:
 		case <-d.exchange.ctx.Done():
-			u.close()
+			u.Close()
 		case <-timer.C:
-			u.close()
+			u.Close()
 		}
 	}()
 	return func() { close(done) }
 }
 
 // release ends the use of a connection.
-func (d *delivery) release(u *upstream, t *roster.Target, e *evidence.Target, reusable bool) {
+func (d *delivery) release(u *hop.Conn, e *evidence.Target, reusable bool) {
 	e.Ended()
 	if reusable {
-		d.gateway.pool.put(t.Address, u)
+		d.gateway.pool.Put(u)
 		return
 	}
-	u.abort()
+	u.Abort()
 }
--- a/internal/gateway/codec.go
+++ b/internal/hop/codec.go
@@ -1,4 +1,4 @@
-package gateway
+package hop
 
 import (
 	"net/http"
@@ -31,6 +31,6 @@
 	Answer(status int, h http.Header) Answer
 	// Refuse sets the headers of a refusal that asks to come back after a pause.
 	Refuse(h http.Header, pause time.Duration)
-	// Echo sets the id of the request on an answer of the gateway's own.
+	// Echo sets the id of the request on an answer of the sender's own.
 	Echo(h http.Header, id string)
 }
--- a/internal/gateway/upstream.go
+++ b/internal/hop/conn.go
@@ -1,4 +1,4 @@
-package gateway
+package hop
 
 import (
 	"bufio"
@@ -14,21 +14,24 @@
 )
 
 const (
-	targetDialTimeout = 400 * time.Millisecond
+	// DialTimeout bounds the opening of a connection to a target.
+	DialTimeout = 400 * time.Millisecond
 	// unackedLimit ends a connection whose target's host takes nothing any more.
 	unackedLimit   = 700 * time.Millisecond
-	targetBuffer   = 16 << 10
+	readBuffer     = 4 << 10
 	maxInformative = 8 // 1xx responses and answers to earlier requests that are passed over
 )
 
 var (
-	errConnectionEnded = errors.New("the target closed the connection")
-	errUnsigned        = errors.New("the success is not signed by the target")
-	errWrongAnswer     = errors.New("the target answered another request")
+	// ErrConnectionEnded says that the connection ended without a response.
+	ErrConnectionEnded = errors.New("the target closed the connection")
+	// ErrWrongAnswer says that a response names another request.
+	ErrWrongAnswer = errors.New("the target answered another request")
 )
 
-// upstream is a connection to a target. One request is at work on it at a time.
-type upstream struct {
+// Conn is a connection on which requests are sent. One request is at work on it at a time.
+type Conn struct {
+	address   string // of the target
 	conn      net.Conn
 	reader    *bufio.Reader
 	used      time.Duration // end of the last request
@@ -37,28 +40,28 @@
 
 	mu      sync.Mutex
 	dead    bool
-	waiting chan<- result // of the request at work, nil while idle
+	waiting chan<- Result // of the request at work, nil while idle
 	request *http.Request
 	id      string
 	codec   Codec
 	resume  chan bool // the response was read; false ends the connection
-	onDead  func(*upstream)
+	onDead  func(*Conn)
 }
 
-// result is a response or the error that came in its place.
-type result struct {
-	response *http.Response
-	answer   Answer
-	err      error
+// Result is a response or the error that came in its place.
+type Result struct {
+	Response *http.Response
+	Answer   Answer // what the headers of Response say
+	Err      error
 }
 
-func dialTarget(address string, timeout time.Duration) (*upstream, error) {
+func dial(address string, timeout time.Duration) (*Conn, error) {
 	dialer := net.Dialer{Timeout: timeout, Control: limitUnacked, KeepAlive: 5 * time.Second}
 	conn, err := dialer.Dial("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	return &upstream{conn: conn, reader: bufio.NewReaderSize(conn, targetBuffer), resume: make(chan bool, 1), fresh: true}, nil
+	return &Conn{address: address, conn: conn, reader: bufio.NewReaderSize(conn, readBuffer), resume: make(chan bool, 1), fresh: true}, nil
 }
 
 func limitUnacked(_, _ string, raw syscall.RawConn) error {
@@ -73,7 +76,7 @@
 
 // readLoop delivers responses. Bytes that arrive while no request is at work
 // belong to none and end the connection.
-func (u *upstream) readLoop() {
+func (u *Conn) readLoop() {
 	for {
 		_, err := u.reader.Peek(1)
 		u.mu.Lock()
@@ -87,7 +90,7 @@
 				u.onDead(u)
 			}
 			if waiting != nil {
-				waiting <- result{err: fmt.Errorf("%w: %w", errConnectionEnded, err)}
+				waiting <- Result{Err: fmt.Errorf("%w: %w", ErrConnectionEnded, err)}
 			}
 			return
 		}
@@ -97,8 +100,8 @@
 		u.waiting = nil
 		u.mu.Unlock()
 		waiting <- r
-		if r.err != nil || !<-u.resume {
-			u.close()
+		if r.Err != nil || !<-u.resume {
+			u.Close()
 			return
 		}
 	}
@@ -106,36 +109,37 @@
 
 // readResponse reads the response to a request; it passes over informational
 // responses and late answers to earlier requests.
-func (u *upstream) readResponse(request *http.Request, id string) result {
+func (u *Conn) readResponse(request *http.Request, id string) Result {
 	for range maxInformative {
 		response, err := http.ReadResponse(u.reader, request)
 		if err != nil {
-			return result{err: err}
+			return Result{Err: err}
 		}
 		if response.StatusCode < 200 {
 			continue
 		}
 		answer := u.codec.Answer(response.StatusCode, response.Header)
 		if id == "" || answer.ID == id || (answer.ID == "" && answer.NotExecuted) {
-			return result{response: response, answer: answer}
+			return Result{Response: response, Answer: answer}
 		}
 		response.Close = true
 		if response.ContentLength < 0 {
-			return result{err: errWrongAnswer}
+			return Result{Err: ErrWrongAnswer}
 		}
 		if _, err := u.reader.Discard(int(response.ContentLength)); err != nil {
-			return result{err: err}
+			return Result{Err: err}
 		}
 		u.mu.Lock()
 		u.dead = true // what else may come is unknown, so it is not used again
 		u.mu.Unlock()
 	}
-	return result{err: errWrongAnswer}
+	return Result{Err: ErrWrongAnswer}
 }
 
-// send writes a request and returns where its response arrives.
-func (u *upstream) expect(request *http.Request, id string) (<-chan result, bool) {
-	ch := make(chan result, 1)
+// Expect says that a request is about to be written; its response arrives on
+// the channel. It reports false if the connection has ended.
+func (u *Conn) Expect(request *http.Request, id string) (<-chan Result, bool) {
+	ch := make(chan Result, 1)
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.dead {
@@ -146,24 +150,38 @@
 }
 
 // usable reports whether the connection may carry another request.
-func (u *upstream) usable() bool {
+func (u *Conn) usable() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	return !u.dead
 }
 
-// abort ends a connection whose response was not read in full.
-func (u *upstream) abort() {
-	u.close()
+// Abort ends a connection whose response was not read in full.
+func (u *Conn) Abort() {
+	u.Close()
 	select {
 	case u.resume <- false:
 	default:
 	}
 }
 
-func (u *upstream) close() {
+// Close ends the connection.
+func (u *Conn) Close() {
 	u.mu.Lock()
 	u.dead = true
 	u.mu.Unlock()
 	_ = u.conn.Close()
 }
+
+// Fresh reports whether no earlier request was sent on the connection.
+func (u *Conn) Fresh() bool { return u.fresh }
+
+// SetKeepAlive notes after which idle time the target closes the connection.
+func (u *Conn) SetKeepAlive(d time.Duration) { u.keepAlive = d }
+
+// SetWriteDeadline bounds writes; a connection that has ended reports it when
+// it is written to.
+func (u *Conn) SetWriteDeadline(t time.Time) { _ = u.conn.SetWriteDeadline(t) }
+
+// Write sends bytes of a request.
+func (u *Conn) Write(p []byte) (int, error) { return u.conn.Write(p) }
--- a/internal/gateway/pool.go
+++ b/internal/hop/pool.go
@@ -1,4 +1,4 @@
-package gateway
+package hop
 
 import (
 	"sync"
@@ -15,21 +15,22 @@
 	idleLimit = 30 * time.Second
 )
 
-// pool keeps idle connections to targets by address.
-type pool struct {
+// Pool keeps idle connections to targets by address.
+type Pool struct {
 	codec Codec
 	now   func() time.Duration
 
 	mu   sync.Mutex
-	idle map[string][]*upstream
+	idle map[string][]*Conn
 }
 
-func newPool(codec Codec, now func() time.Duration) *pool {
-	return &pool{codec: codec, now: now, idle: map[string][]*upstream{}}
+// NewPool returns an empty pool; now is the time since some start.
+func NewPool(codec Codec, now func() time.Duration) *Pool {
+	return &Pool{codec: codec, now: now, idle: map[string][]*Conn{}}
 }
 
-// get returns an idle connection, the one used last first, nil if there is none.
-func (p *pool) get(address string, repeatable bool) *upstream {
+// Get returns an idle connection, the one used last first, nil if there is none.
+func (p *Pool) Get(address string, repeatable bool) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
@@ -42,7 +43,7 @@
 		age := p.now() - u.used
 		if !repeatable && age > time.Duration(float64(keep)*keepAliveUse) || age > min(keep, idleLimit) {
 			if repeatable {
-				go u.close()
+				go u.Close()
 				list = list[:len(list)-1]
 				continue
 			}
@@ -58,33 +59,33 @@
 	return nil
 }
 
-// dial opens a new connection.
-func (p *pool) dial(address string, timeout time.Duration) (*upstream, error) {
-	u, err := dialTarget(address, timeout)
+// Dial opens a new connection.
+func (p *Pool) Dial(address string, timeout time.Duration) (*Conn, error) {
+	u, err := dial(address, timeout)
 	if err != nil {
 		return nil, err
 	}
 	u.codec = p.codec
-	u.onDead = func(u *upstream) { p.drop(address, u) }
+	u.onDead = p.drop
 	go u.readLoop()
 	return u, nil
 }
 
-// put keeps a connection whose response was read in full.
-func (p *pool) put(address string, u *upstream) {
+// Put keeps a connection whose response was read in full.
+func (p *Pool) Put(u *Conn) {
 	u.used, u.fresh = p.now(), false
 	u.resume <- true
 	if !u.usable() {
-		u.close()
+		u.Close()
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.idle[address] = append(p.idle[address], u)
+	p.idle[u.address] = append(p.idle[u.address], u)
 }
 
-// size is the number of idle connections.
-func (p *pool) size() int {
+// Size is the number of idle connections.
+func (p *Pool) Size() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := 0
@@ -94,17 +95,17 @@
 	return n
 }
 
-func (p *pool) drop(address string, u *upstream) {
+func (p *Pool) drop(u *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[address]
+	list := p.idle[u.address]
 	for i, o := range list {
 		if o == u {
-			p.idle[address] = append(list[:i:i], list[i+1:]...)
+			p.idle[u.address] = append(list[:i:i], list[i+1:]...)
 			break
 		}
 	}
-	if len(p.idle[address]) == 0 {
-		delete(p.idle, address)
+	if len(p.idle[u.address]) == 0 {
+		delete(p.idle, u.address)
 	}
 }
