Send requests by way of a relay in the availability zone

Change: control hosts run a relay (internal/relay) for the entry hosts of their zone. It shares connections to targets and paces downloads to 85 in 100 of the entry host's link. The entry host still chooses the target and judges the answer. It turns to the target itself if the relay is busy, unreachable or silent, and repeats what may be repeated if the relay is lost. At SIGTERM a relay ends what it has. Large uploads do not use it.

--- a/internal/core/announce.go
+++ b/internal/core/announce.go
@@ -44,6 +44,12 @@
 	return n.depart(ctx, desired.Departure{Name: name, Life: life})
 }
 
+// TargetAt reports whether a target announced itself at an address.
+func (n *Node) TargetAt(name, address string) bool {
+	t, ok := n.targets.Find(name)
+	return ok && t.Address == address
+}
+
 func (n *Node) depart(ctx context.Context, d desired.Departure) error {
 	if state, _ := n.machine.State(); state.Left(d) {
 		return nil
--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -12,6 +12,7 @@
 type Config struct {
 	Name      string // IP of this host; names it in the agreement group
 	Peer      string // IP:port for messages of other hosts
+	Relay     string // IP:port for requests of entry hosts, empty if there is none
 	Zone      string
 	Region    string
 	Folder    string
--- a/internal/core/controls.go
+++ b/internal/core/controls.go
@@ -89,7 +89,7 @@
 func digest(list []fleet.Control) uint64 {
 	h := xxhash.New()
 	for _, c := range list {
-		_, _ = h.WriteString(c.Peer + "|" + c.Zone + "\n") // a hash never fails
+		_, _ = h.WriteString(c.Peer + "|" + c.Zone + "|" + c.Relay + "\n") // a hash never fails
 	}
 	return h.Sum64()
 }
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -49,7 +49,7 @@
 // Start starts all parts of the control host. They end with ctx.
 func Start(ctx context.Context, c Config) *Node {
 	n := &Node{
-		config: c, self: fleet.Control{Peer: c.Peer, Zone: c.Zone, Region: c.Region},
+		config: c, self: fleet.Control{Peer: c.Peer, Zone: c.Zone, Region: c.Region, Relay: c.Relay},
 		epoch: time.Now().UnixNano(), start: time.Now(),
 		targets: roster.New(forgetTargets), entries: newEntryTable(), direct: newDirectLog(), changed: newNotifier(),
 		judge: newJudge(), registry: metrics.NewRegistry(),
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -23,4 +23,7 @@
 	Peer   string `cbor:"1,keyasint"`
 	Zone   string `cbor:"2,keyasint"`
 	Region string `cbor:"3,keyasint"`
+	// Relay is where entry hosts of the availability zone may send requests for
+	// targets, empty if nowhere.
+	Relay string `cbor:"4,keyasint,omitempty"`
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -51,6 +51,9 @@
 // connectAndSend takes a kept connection or opens one, and sends the request.
 func (d *delivery) connectAndSend(t *roster.Target, e *evidence.Target) attempt {
 	g := d.gateway
+	if a := d.sendByRelay(t, e); a.outcome != notTaken {
+		return a
+	}
 	idempotent := d.exchange.route.Kind.Idempotent()
 	u := g.pool.Get(t.Address, idempotent)
 	if u == nil {
@@ -72,6 +75,29 @@
 	return a
 }
 
+// sendByRelay sends the request to the target's relay, if there is one to use.
+// The outcome notTaken says that nothing was sent.
+func (d *delivery) sendByRelay(t *roster.Target, e *evidence.Target) attempt {
+	g := d.gateway
+	if d.direct || !d.exchange.body.repeatable() {
+		return attempt{outcome: notTaken}
+	}
+	idempotent := d.exchange.route.Kind.Idempotent()
+	u := g.relays.connect(g.now(), idempotent)
+	if u == nil {
+		return attempt{outcome: notTaken}
+	}
+	defer g.relays.hold(u, idempotent)()
+	d.relayed = true
+	defer func() { d.relayed = false }()
+	sent := g.now()
+	a := d.send(u, t, e)
+	if a.outcome != notTaken && !a.relayLost {
+		d.judge(t, a, sent)
+	}
+	return a
+}
+
 // countsAgainstTarget reports whether a dial that failed says something about
 // the target. One that was cut short by the request's own end does not.
 func countsAgainstTarget(limit time.Duration, err error) bool {
--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -20,10 +20,11 @@
 	broken                     // the connection or the answer broke
 	timedOut
 	callerLeft
+	notTaken // the relay did not take the request; no byte reached the target
 )
 
 func (o outcome) String() string {
-	return [...]string{"answered", "unreached", "not run", "target error", "broken", "timed out", "caller left"}[o]
+	return [...]string{"answered", "unreached", "not run", "target error", "broken", "timed out", "caller left", "not taken"}[o]
 }
 
 // delivery takes one request to a target, or to several in turn.
@@ -33,8 +34,10 @@
 	service  string
 	deadline time.Duration
 	tried    map[string]bool
-	runs     int // attempts that may have run
-	unrun    int // attempts that did not run
+	relayed  bool // the attempt at work goes to a relay
+	direct   bool // no relay is used any more
+	runs     int  // attempts that may have run
+	unrun    int  // attempts that did not run
 }
 
 // attempt is the result of one sending.
@@ -44,6 +47,8 @@
 	err     error
 	// released says that the connection's release counts the end of the request.
 	released bool
+	// relayLost says that the relay failed, which tells nothing of the target.
+	relayLost bool
 }
 
 // run sends the request until it is answered or must not be sent again.
@@ -70,6 +75,10 @@
 		if last.outcome == answered {
 			return last.reply
 		}
+		if last.relayLost {
+			d.direct = true
+			delete(d.tried, t.Name)
+		}
 		switch last.outcome {
 		case unreached, notRun:
 			d.unrun++
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hornbeamstack/hornbeamstack/internal/hop"
+	"github.com/hornbeamstack/hornbeamstack/internal/relay"
 	"github.com/hornbeamstack/hornbeamstack/pkg/roster"
 )
 
@@ -16,7 +17,11 @@
 	x := d.exchange
 	header := hop.PassedOn(x.request.Header)
 	header.Del("Expect")
+	relay.Strip(header)
 	d.gateway.config.Codec.Forward(header, left, t.Name)
+	if d.relayed {
+		d.gateway.relays.address(header, t, x.route.Kind)
+	}
 	return &http.Request{Method: x.request.Method, URL: x.request.URL, RequestURI: x.request.RequestURI, Host: x.request.Host, Header: header}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,6 +43,7 @@
 	reports *reports
 	balance *affinity.Balance
 	large   *downloads
+	relays  *relays
 	meters  *meters
 
 	leaving  atomic.Bool
@@ -60,6 +61,7 @@
 	g.view = newView(&g.config)
 	g.watch = newWatch(&g.config, g.view, g.now, g.self, g.reports)
 	g.pool = hop.NewPool(c.Codec, g.now)
+	g.relays = newRelays(g.watch, g.pool, c.LinkRate)
 	g.budgets = newBudgets(&g.config)
 	g.cold = newColdLimiter(&g.config, g.view)
 	return g
@@ -124,6 +126,7 @@
 		case <-ticker.C:
 		}
 		g.observe()
+		g.relays.check()
 		g.balance.Step(housekeepingInterval, g.reports.averages(func(name string) bool { _, ok := g.view.targets.Find(name); return ok }))
 		g.board.Keep(func(k evidence.Key) bool {
 			t, ok := g.view.targets.Find(k.Name)
--- /dev/null
+++ b/internal/gateway/relays.go
@@ -0,0 +1,111 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/hop"
+	"github.com/hornbeamstack/hornbeamstack/internal/relay"
+	"github.com/hornbeamstack/hornbeamstack/pkg/policy"
+	"github.com/hornbeamstack/hornbeamstack/pkg/roster"
+)
+
+const (
+	// relaySilence is the silence of a relay's host after which requests go to
+	// the targets themselves. A pull that brings no news takes pullWait.
+	relaySilence = pullWait + 500*time.Millisecond
+	// relayLost is the silence after which the requests that it holds are sent
+	// again, as far as they may be.
+	relayLost = pullWait + 1100*time.Millisecond
+	// relayDialTimeout bounds the opening of a connection inside the zone.
+	relayDialTimeout = 200 * time.Millisecond
+	// relayShun is how long a relay that did not take a connection is left alone.
+	relayShun = 500 * time.Millisecond
+	// downloadUse is the part of the own link that downloads may fill.
+	downloadUse = 0.85
+)
+
+// relays sends requests by way of the availability zone's relay while its host
+// is in contact.
+type relays struct {
+	watch *watch
+	pool  *hop.Pool
+	rate  string // bytes a second for downloads, empty for any
+
+	mu      sync.Mutex
+	shunned time.Duration      // not to be used before
+	holds   map[*hop.Conn]bool // at work with requests that may be repeated
+}
+
+func newRelays(w *watch, p *hop.Pool, linkRate float64) *relays {
+	r := &relays{watch: w, pool: p, holds: map[*hop.Conn]bool{}}
+	if linkRate > 0 {
+		r.rate = strconv.FormatFloat(linkRate*downloadUse, 'f', 0, 64)
+	}
+	return r
+}
+
+// connect returns a connection to the relay, nil if there is none to use.
+func (r *relays) connect(now time.Duration, repeatable bool) *hop.Conn {
+	address, silent := r.watch.relay()
+	r.mu.Lock()
+	usable := address != "" && silent < relaySilence && now >= r.shunned
+	r.mu.Unlock()
+	if !usable {
+		return nil
+	}
+	u := r.pool.Get(address, repeatable)
+	if u == nil {
+		var err error
+		if u, err = r.pool.Dial(address, relayDialTimeout); err != nil {
+			r.watch.config.Log.Warn("relay given up", "relay", address, "during", relayShun, "err", err)
+			r.mu.Lock()
+			r.shunned = now + relayShun
+			r.mu.Unlock()
+			return nil
+		}
+	}
+	return u
+}
+
+// hold notes that a relay is at work with a request; the result ends that.
+func (r *relays) hold(u *hop.Conn, repeatable bool) (end func()) {
+	if !repeatable {
+		return func() {}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.holds[u] = true
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.holds, u)
+	}
+}
+
+// check ends the connections of a relay whose host is silent, so that what they
+// carried is sent again.
+func (r *relays) check() {
+	if _, silent := r.watch.relay(); silent < relayLost {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for u := range r.holds {
+		u.Close()
+	}
+}
+
+// address sets the headers of a request for the relay.
+func (r *relays) address(h http.Header, t *roster.Target, kind policy.Kind) {
+	h.Set(relay.HeaderTarget, t.Name)
+	h.Set(relay.HeaderAddress, t.Address)
+	if kind.Idempotent() {
+		h.Set(relay.HeaderRepeatable, "1")
+	}
+	if kind == policy.Download && r.rate != "" {
+		h.Set(relay.HeaderRate, r.rate)
+	}
+}
--- /dev/null
+++ b/internal/gateway/relays_test.go
@@ -0,0 +1,142 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/charmbracelet/log"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/fleet"
+	"github.com/hornbeamstack/hornbeamstack/internal/relay"
+	"github.com/hornbeamstack/hornbeamstack/pkg/policy"
+)
+
+// relayAt makes the gateway believe in a relay of its zone at an address.
+func (f *fixture) relayAt(address string) {
+	w := f.gateway.watch
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.controls["c"] = &controlState{control: fleet.Control{Peer: "c", Zone: "z1", Relay: address}, answered: w.now()}
+}
+
+// startRelay starts a real relay; known says whether it knows the targets.
+func startRelay(t *testing.T, known bool) string {
+	t.Helper()
+	s := relay.New(relay.Config{Codec: fakeCodec{}, Known: func(string, string) bool { return known },
+		Metrics: metrics.NewRegistry(), Log: log.New(io.Discard)})
+	return listen(t, func(ctx context.Context, l net.Listener) { s.Serve(ctx, l) })
+}
+
+func listen(t *testing.T, serve func(context.Context, net.Listener)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(func() { cancel(); _ = l.Close() })
+	go serve(ctx, l)
+	return l.Addr().String()
+}
+
+// brokenRelay reads one request of each connection and does with it what act says.
+func brokenRelay(t *testing.T, act func(net.Conn)) string {
+	return listen(t, func(_ context.Context, l net.Listener) {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					act(conn)
+				}
+			}()
+		}
+	})
+}
+
+// Guards against requests that are lost, repeated or answered wrongly because a
+// relay fails. The target is the object's only one, so a repeat has to go there.
+func TestRelayFailures(t *testing.T) {
+	closed := func(c net.Conn) { _ = c.Close() }
+	said := func(o relay.Outcome) func(net.Conn) {
+		return func(c net.Conn) { answer(c, 502, "1", "", relay.HeaderOutcome+": "+string(o)) }
+	}
+	cases := []struct {
+		name   string
+		kind   policy.Kind
+		relay  func(t *testing.T) string
+		status int
+		reads  int // requests that the target reads
+	}{
+		{"a relay passes a request on", policy.Unsafe, func(t *testing.T) string { return startRelay(t, true) }, 200, 1},
+		{"a relay that does not know the target is passed by", policy.Unsafe, func(t *testing.T) string { return startRelay(t, false) }, 200, 1},
+		{"a relay that cannot be reached is passed by", policy.Unsafe, func(*testing.T) string { return "127.0.0.1:1" }, 200, 1},
+		{"safe work that a relay loses goes to its target", policy.Safe, func(t *testing.T) string { return brokenRelay(t, closed) }, 200, 1},
+		{"unsafe work that a relay loses is not sent again", policy.Unsafe, func(t *testing.T) string { return brokenRelay(t, closed) }, 502, 0},
+		{"work that a busy relay did not take is sent on", policy.Unsafe, func(t *testing.T) string { return brokenRelay(t, said(relay.Busy)) }, 200, 1},
+		{"an unreached target leaves the request not run", policy.Unsafe, func(t *testing.T) string { return brokenRelay(t, said(relay.Unreached)) }, 503, 0},
+		{"a lost answer leaves unsafe work unknown", policy.Unsafe, func(t *testing.T) string { return brokenRelay(t, said(relay.Broken)) }, 502, 0},
+		{"late work is not sent again", policy.Safe, func(t *testing.T) string { return brokenRelay(t, said(relay.TimedOut)) }, 504, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t, ok)
+			f.relayAt(c.relay(t))
+			r, body := f.do("POST", "/"+c.kind.String()+"/x", "1", "hello")
+			if r.StatusCode != c.status {
+				t.Errorf("status %d with body %q, want %d", r.StatusCode, body, c.status)
+			}
+			if c.status == 200 && body != "t0:hello" {
+				t.Errorf("body %q", body)
+			}
+			if got := len(f.targets[0].ids()); got != c.reads {
+				t.Errorf("the target read %d requests, want %d", got, c.reads)
+			}
+		})
+	}
+}
+
+// Guards against requests that wait for a relay whose host is silent until
+// their time is over.
+func TestSilentRelay(t *testing.T) {
+	f := newFixture(t, ok)
+	begun := make(chan struct{}, 1)
+	f.relayAt(brokenRelay(t, func(net.Conn) { begun <- struct{}{} }))
+	conn, br := f.dial()
+	fmt.Fprint(conn, request("GET", "/safe/x", "1", ""))
+	<-begun
+	w := f.gateway.watch
+	w.mu.Lock()
+	w.controls["c"].answered = w.now() - relayLost
+	w.mu.Unlock()
+	f.gateway.relays.check()
+	if r, body := f.read(br); r.StatusCode != 200 {
+		t.Errorf("status %d with body %q", r.StatusCode, body)
+	}
+	if u := f.gateway.relays.connect(f.gateway.now(), true); u != nil {
+		t.Error("a silent relay is used")
+	}
+}
+
+// Guards against callers that set the headers between entry hosts and relays.
+func TestCallersCannotAddressRelays(t *testing.T) {
+	seen := make(chan http.Header, 1)
+	f := newFixture(t, func(s *fakeTarget, conn net.Conn, r *http.Request) {
+		seen <- r.Header
+		ok(s, conn, r)
+	})
+	conn, br := f.dial()
+	fmt.Fprint(conn, request("GET", "/safe/x", "1", "", relay.HeaderAddress+": 127.0.0.1:1", relay.HeaderRate+": 1"))
+	f.read(br)
+	if h := <-seen; h.Get(relay.HeaderAddress) != "" || h.Get(relay.HeaderRate) != "" {
+		t.Errorf("the target received %v", h)
+	}
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hornbeamstack/hornbeamstack/internal/hop"
+	"github.com/hornbeamstack/hornbeamstack/internal/relay"
 	"github.com/hornbeamstack/hornbeamstack/pkg/evidence"
 	"github.com/hornbeamstack/hornbeamstack/pkg/policy"
 	"github.com/hornbeamstack/hornbeamstack/pkg/roster"
@@ -22,6 +23,9 @@
 	}
 	request := d.forwarded(t, left)
 	responses, ok := u.Expect(request, x.call.ID)
+	if !ok && d.relayed {
+		return attempt{outcome: notTaken}
+	}
 	if !ok {
 		return attempt{outcome: unreached, err: hop.ErrConnectionEnded}
 	}
@@ -59,6 +63,11 @@
 // received judges a response. complete says that the whole request was sent.
 func (d *delivery) received(u *hop.Conn, t *roster.Target, e *evidence.Target, r hop.Result, complete bool) attempt {
 	now := d.gateway.now()
+	if d.relayed {
+		if a, failed := d.relayFailed(u, e, &r); failed {
+			return a
+		}
+	}
 	if r.Err != nil {
 		u.Abort()
 		e.Failed(now)
@@ -99,6 +108,34 @@
 	return a
 }
 
+// errRelay says that the relay reported why it has no answer.
+var errRelay = errors.New("the relay got no answer of the target")
+
+// relayFailed judges what a relay says in place of a target's answer.
+func (d *delivery) relayFailed(u *hop.Conn, e *evidence.Target, r *hop.Result) (a attempt, failed bool) {
+	now := d.gateway.now()
+	if r.Err != nil {
+		u.Abort()
+		return attempt{outcome: broken, err: r.Err, relayLost: true}, true
+	}
+	outcome := relay.Outcome(r.Response.Header.Get(relay.HeaderOutcome))
+	if outcome == "" {
+		return attempt{}, false
+	}
+	d.gateway.pool.Put(u) // such an answer has no body
+	switch outcome {
+	case relay.Busy:
+		return attempt{outcome: notTaken}, true
+	case relay.Unreached:
+		e.Unreachable(now)
+		return attempt{outcome: unreached, err: errRelay}, true
+	case relay.TimedOut:
+		return attempt{outcome: timedOut, err: errRelay}, true
+	}
+	e.Failed(now)
+	return attempt{outcome: broken, err: errRelay}, true
+}
+
 // readAnswer reads the response as far as it is held in memory.
 func (d *delivery) readAnswer(u *hop.Conn, t *roster.Target, e *evidence.Target, r hop.Result, complete bool) attempt {
 	response := r.Response
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -34,6 +34,7 @@
 	revision uint64
 	watched  bool
 	states   uint64        // number of the target states held
+	answered time.Duration // last reply in contact with a majority, 0 if there was none
 	shunned  time.Duration // not to be used before
 }
 
@@ -204,7 +205,7 @@
 	c.states = reply.StateNumber
 	c.epoch, c.revision = reply.Epoch, reply.Revision
 	if reply.Fresh {
-		w.fresh = now
+		w.fresh, c.answered = now, now
 	}
 	if reply.Controls != nil {
 		w.setControls(reply)
@@ -223,6 +224,26 @@
 	}
 }
 
+// relay returns the address of the relay of the own availability zone that was
+// heard last, with the time since its control host answered; "" if there is none.
+func (w *watch) relay() (address string, silent time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var best *controlState
+	for _, c := range w.controls {
+		if c.control.Zone != w.config.Zone || c.control.Relay == "" || c.answered == 0 {
+			continue
+		}
+		if best == nil || c.answered > best.answered {
+			best = c
+		}
+	}
+	if best == nil {
+		return "", 0
+	}
+	return best.control.Relay, w.now() - best.answered
+}
+
 // informed reports whether a control host in contact with a majority has answered.
 func (w *watch) informed() bool {
 	w.mu.Lock()
--- a/internal/platformnode/common.go
+++ b/internal/platformnode/common.go
@@ -25,6 +25,8 @@
 	// reloadInterval is the pause between looks at the settings file, which may
 	// change without a signal.
 	reloadInterval = 2 * time.Second
+	// stopReserve is the part of the time for a stop that is left for the exit.
+	stopReserve = 300 * time.Millisecond
 	// memoryInterval is the pause between readings of the memory in use.
 	memoryInterval = 15 * time.Second
 )
@@ -38,6 +40,11 @@
 	return l, err
 }
 
+// stopLimit is the time that a process has to end its work after SIGTERM.
+func stopLimit(s *platform.Settings) time.Duration {
+	return s.BoundTime("GraceS", 5*time.Second) - stopReserve
+}
+
 func limitMemory(s *platform.Settings) {
 	if s.Limits.MemoryMb > 0 {
 		debug.SetMemoryLimit(int64(float64(s.Limits.MemoryMb<<20) * memoryUse))
--- a/internal/platformnode/gateway.go
+++ b/internal/platformnode/gateway.go
@@ -13,9 +13,6 @@
 	"github.com/hornbeamstack/hornbeamstack/platform"
 )
 
-// stopReserve is the part of the time for a stop that is left for the exit.
-const stopReserve = 300 * time.Millisecond
-
 // RunGateway runs an entry host until SIGTERM.
 func RunGateway(s *platform.Settings) error {
 	limitMemory(s)
@@ -51,6 +48,6 @@
 	go g.Run(ctx, front)
 	go reload(ctx, l, func(s *platform.Settings) { g.SetSeeds(s.SeedPeers()) })
 	<-signals
-	g.Stop(s.BoundTime("GraceS", 5*time.Second) - stopReserve)
+	g.Stop(stopLimit(s))
 	return nil
 }
--- /dev/null
+++ b/internal/relay/headers.go
@@ -0,0 +1,25 @@
+package relay
+
+import "net/http"
+
+// Headers of a request to a relay.
+const (
+	// HeaderTarget and HeaderAddress name the target and its address.
+	HeaderTarget  = "Hornbeam-Target"
+	HeaderAddress = "Hornbeam-Address"
+	// HeaderRepeatable is set if the request may run more than once.
+	HeaderRepeatable = "Hornbeam-Repeatable"
+	// HeaderRate bounds the answers to all requests of an entry host that bear
+	// it, in bytes a second.
+	HeaderRate = "Hornbeam-Rate"
+)
+
+// HeaderOutcome is set on answers of the relay's own.
+const HeaderOutcome = "Hornbeam-Outcome"
+
+// Strip removes the headers between entry hosts and relays.
+func Strip(h http.Header) {
+	for _, name := range []string{HeaderTarget, HeaderAddress, HeaderRepeatable, HeaderRate, HeaderOutcome} {
+		h.Del(name)
+	}
+}
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,328 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/hop"
+)
+
+// testCodec uses short header names of its own.
+type testCodec struct{}
+
+func (testCodec) Call(h http.Header) hop.Call {
+	ms, _ := strconv.Atoi(h.Get("Left"))
+	return hop.Call{ID: h.Get("Id"), Left: time.Duration(ms) * time.Millisecond}
+}
+
+func (testCodec) Forward(h http.Header, left time.Duration, target string) {
+	h.Set("Left", strconv.FormatInt(left.Milliseconds(), 10))
+	h.Set("Target", target)
+}
+
+func (testCodec) Answer(_ int, h http.Header) hop.Answer {
+	return hop.Answer{ID: h.Get("Id"), Signed: true}
+}
+func (testCodec) Refuse(http.Header, time.Duration) {}
+func (testCodec) Echo(h http.Header, id string)     { h.Set("Id", id) }
+
+// target is a scripted target that counts connections and requests.
+type target struct {
+	address string
+	conns   atomic.Int32
+	mu      sync.Mutex
+	read    []*http.Request
+	gone    chan struct{} // closed when a connection ends
+}
+
+func startTarget(t *testing.T, script func(conn net.Conn, r *http.Request)) *target {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	s := &target{address: l.Addr().String(), gone: make(chan struct{}, 100)}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.conns.Add(1)
+			go func() {
+				defer func() { _ = conn.Close(); s.gone <- struct{}{} }()
+				br := bufio.NewReader(conn)
+				for {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					body, err := io.ReadAll(r.Body)
+					if err != nil {
+						return
+					}
+					r.Header.Set("Body", string(body))
+					s.mu.Lock()
+					s.read = append(s.read, r)
+					s.mu.Unlock()
+					script(conn, r)
+				}
+			}()
+		}
+	}()
+	return s
+}
+
+func (s *target) requests() []*http.Request {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]*http.Request(nil), s.read...)
+}
+
+// echo answers with the body of the request.
+func echo(conn net.Conn, r *http.Request) {
+	body := r.Header.Get("Body")
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", r.Header.Get("Id"), len(body), body)
+}
+
+// startRelay starts a relay that knows the target "t" at any address but "nowhere".
+func startRelay(t *testing.T) (*Server, string) {
+	t.Helper()
+	s := New(Config{Codec: testCodec{}, Known: func(name, _ string) bool { return name == "t" },
+		Metrics: metrics.NewRegistry(), Log: log.New(io.Discard)})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go s.Serve(ctx, l)
+	return s, l.Addr().String()
+}
+
+// entry is a connection of an entry host.
+type entry struct {
+	t    *testing.T
+	conn net.Conn
+	br   *bufio.Reader
+}
+
+func dialRelay(t *testing.T, address string) *entry {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+	return &entry{t: t, conn: conn, br: bufio.NewReader(conn)}
+}
+
+func (e *entry) send(id, name, address, body string, left time.Duration, headers ...string) {
+	fmt.Fprintf(e.conn, "POST /x HTTP/1.1\r\nHost: h\r\nId: %s\r\nLeft: %d\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n%s\r\n%s",
+		id, left.Milliseconds(), HeaderTarget, name, HeaderAddress, address, len(body), strings.Join(headers, ""), body)
+}
+
+// read returns the answer; the body ends in " (cut)" if it broke off.
+func (e *entry) read() (*http.Response, string) {
+	e.t.Helper()
+	r, err := http.ReadResponse(e.br, nil)
+	if err != nil {
+		e.t.Fatalf("no answer: %v", err)
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return r, string(body) + " (cut)"
+	}
+	return r, string(body)
+}
+
+// Guards against a connection to the target for each entry host, and against
+// headers between own processes that reach the target.
+func TestEntryHostsShareConnections(t *testing.T) {
+	_, address := startRelay(t)
+	s := startTarget(t, echo)
+	for i := range 4 {
+		e := dialRelay(t, address)
+		for j := range 3 {
+			id := fmt.Sprint(i, ".", j)
+			e.send(id, "t", s.address, "body"+id, time.Second, HeaderRate+": 1000000\r\n", HeaderRepeatable+": 1\r\n")
+			if r, body := e.read(); r.StatusCode != 200 || body != "body"+id || r.Header.Get("Id") != id {
+				t.Fatalf("request %s got %d %q", id, r.StatusCode, body)
+			}
+		}
+	}
+	if n := s.conns.Load(); n != 1 {
+		t.Errorf("%d connections to the target, want 1", n)
+	}
+	for _, r := range s.requests() {
+		for _, name := range []string{HeaderTarget, HeaderAddress, HeaderRepeatable, HeaderRate} {
+			if r.Header.Get(name) != "" {
+				t.Errorf("the target received header %s", name)
+			}
+		}
+		if left, _ := strconv.Atoi(r.Header.Get("Left")); left > 1000 || left <= 0 || r.Header.Get("Target") != "t" {
+			t.Errorf("the target received time %d for target %q", left, r.Header.Get("Target"))
+		}
+	}
+}
+
+// Guards against answers of the relay's own that say something else than what
+// happened: an entry host repeats or refuses by them.
+func TestOutcomes(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	nobody := closed.Addr().String()
+	_ = closed.Close()
+	cases := []struct {
+		name    string
+		target  string
+		address string // of the scripted target if empty
+		script  func(net.Conn, *http.Request)
+		left    time.Duration
+		want    Outcome
+		read    int // requests that the target read
+	}{
+		{"an unknown target is sent nothing", "other", "", echo, time.Second, Busy, 0},
+		{"no time left", "t", "", echo, 0, Busy, 0},
+		{"nobody listens", "t", nobody, echo, time.Second, Unreached, 0},
+		{"the target closes without an answer", "t", "", func(c net.Conn, _ *http.Request) { _ = c.Close() }, time.Second, Broken, 1},
+		{"the target answers another request", "t", "", func(c net.Conn, _ *http.Request) {
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 0\r\n\r\n")
+			_ = c.Close()
+		}, time.Second, Broken, 1},
+		{"the target sends no answer in time", "t", "", func(net.Conn, *http.Request) {}, 50 * time.Millisecond, TimedOut, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, address := startRelay(t)
+			s := startTarget(t, c.script)
+			if c.address == "" {
+				c.address = s.address
+			}
+			e := dialRelay(t, address)
+			e.send("1", c.target, c.address, "", c.left)
+			r, _ := e.read()
+			if got := Outcome(r.Header.Get(HeaderOutcome)); got != c.want || r.Header.Get("Id") != "1" {
+				t.Errorf("outcome %q for id %q, want %q", got, r.Header.Get("Id"), c.want)
+			}
+			if n := len(s.requests()); n != c.read {
+				t.Errorf("the target read %d requests, want %d", n, c.read)
+			}
+			e.send("2", "other", s.address, "", time.Second)
+			if r, _ := e.read(); r.Header.Get("Id") != "2" {
+				t.Error("the connection cannot be used again")
+			}
+		})
+	}
+}
+
+// Guards against bodies that end early and look complete, and against a
+// target's header that passes for an outcome of the relay.
+func TestBodies(t *testing.T) {
+	long := strings.Repeat("0123456789", 5000)
+	cases := []struct {
+		name, answer, want string
+		close              bool
+	}{
+		{"long", fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(long), long), long, false},
+		{"cut", "Content-Length: 100\r\n\r\nshort", "short (cut)", true},
+		{"without a length", "Connection: close\r\n\r\n" + long, long, true},
+		{"chunked", "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", "abc", false},
+		{"chunked and cut", "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", "abc (cut)", true},
+		{"forged outcome", HeaderOutcome + ": busy\r\nContent-Length: 2\r\n\r\nok", "ok", false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, address := startRelay(t)
+			s := startTarget(t, func(conn net.Conn, r *http.Request) {
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\n%s", r.Header.Get("Id"), c.answer)
+				if c.close {
+					_ = conn.Close()
+				}
+			})
+			e := dialRelay(t, address)
+			e.send("1", "t", s.address, "", 5*time.Second, HeaderRate+": 100000000\r\n")
+			r, body := e.read()
+			if body != c.want || r.Header.Get(HeaderOutcome) != "" {
+				t.Errorf("body of %d bytes, outcome %q, want %d bytes", len(body), r.Header.Get(HeaderOutcome), len(c.want))
+			}
+		})
+	}
+}
+
+// Guards against targets that go on working for entry hosts that have given up.
+func TestEntryHostLeaves(t *testing.T) {
+	_, address := startRelay(t)
+	begun := make(chan struct{})
+	s := startTarget(t, func(net.Conn, *http.Request) { close(begun) })
+	e := dialRelay(t, address)
+	e.send("1", "t", s.address, "", 30*time.Second)
+	<-begun
+	_ = e.conn.Close()
+	<-s.gone
+}
+
+// Guards against stops that cut requests off or take new ones.
+func TestStop(t *testing.T) {
+	relay, address := startRelay(t)
+	begun, release := make(chan struct{}), make(chan struct{})
+	s := startTarget(t, func(conn net.Conn, r *http.Request) {
+		close(begun)
+		<-release
+		echo(conn, r)
+	})
+	e := dialRelay(t, address)
+	e.send("1", "t", s.address, "body", 30*time.Second)
+	<-begun
+	stopped := make(chan struct{})
+	go func() { relay.Stop(30 * time.Second); close(stopped) }()
+	for !relay.stopping.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	other := dialRelay(t, address)
+	other.send("2", "t", s.address, "", time.Second)
+	if r, _ := other.read(); Outcome(r.Header.Get(HeaderOutcome)) != Busy {
+		t.Errorf("a stopping relay answered %v", r.Header)
+	}
+	close(release)
+	if _, body := e.read(); body != "body" {
+		t.Errorf("body %q", body)
+	}
+	<-stopped
+}
+
+// Guards against downloads of one entry host that together exceed its rate.
+func TestPacersAreShared(t *testing.T) {
+	p := newPacers()
+	first, second, other := p.begin("a", 1000), p.begin("a", 1000), p.begin("b", 500)
+	if first != second || first == other || first.Limit() != 1000 || first.Burst() != paceBurst || other.Limit() != 500 {
+		t.Error("requests of a host do not share its limiter")
+	}
+	p.end("a")
+	if p.begin("a", 2000) != first {
+		t.Error("the limiter was replaced while it was in use")
+	}
+	p.end("a")
+	p.end("a")
+	p.end("b")
+	if len(p.hosts) != 0 {
+		t.Errorf("%d limiters stay", len(p.hosts))
+	}
+}
