Let bulk answers wait for all others of an entry host

Change: a relay counts all answers to an entry host against its link; those of downloads wait until the others have been carried. A dial that times out no longer keeps other requests from the relay.

--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -19,12 +19,13 @@
 	// relayLost is the silence after which the requests that it holds are sent
 	// again, as far as they may be.
 	relayLost = pullWait + 1100*time.Millisecond
-	// relayDialTimeout bounds the opening of a connection inside the zone.
-	relayDialTimeout = 200 * time.Millisecond
+	// relayDialTimeout bounds the opening of a connection inside the zone. The own
+	// link may be full of answers meanwhile.
+	relayDialTimeout = hop.DialTimeout
 	// relayShun is how long a relay that did not take a connection is left alone.
 	relayShun = 500 * time.Millisecond
-	// downloadUse is the part of the own link that downloads may fill.
-	downloadUse = 0.85
+	// linkUse is the part of the own link that relayed answers may fill.
+	linkUse = 0.92
 )
 
 // relays sends requests by way of the availability zone's relay while its host
@@ -32,7 +33,7 @@
 type relays struct {
 	watch *watch
 	pool  *hop.Pool
-	rate  string // bytes a second for downloads, empty for any
+	rate  string // bytes a second that the own link carries, empty if unknown
 
 	mu      sync.Mutex
 	shunned time.Duration      // not to be used before
@@ -42,7 +43,7 @@
 func newRelays(w *watch, p *hop.Pool, linkRate float64) *relays {
 	r := &relays{watch: w, pool: p, holds: map[*hop.Conn]bool{}}
 	if linkRate > 0 {
-		r.rate = strconv.FormatFloat(linkRate*downloadUse, 'f', 0, 64)
+		r.rate = strconv.FormatFloat(linkRate*linkUse, 'f', 0, 64)
 	}
 	return r
 }
@@ -60,16 +61,25 @@
 	if u == nil {
 		var err error
 		if u, err = r.pool.Dial(address, relayDialTimeout); err != nil {
-			r.watch.config.Log.Warn("relay given up", "relay", address, "during", relayShun, "err", err)
-			r.mu.Lock()
-			r.shunned = now + relayShun
-			r.mu.Unlock()
+			r.unreached(now, address, err)
 			return nil
 		}
 	}
 	return u
 }
 
+// unreached notes that no connection to the relay could be opened. A time-out
+// may come from the own link, so only a refusal keeps other requests away.
+func (r *relays) unreached(now time.Duration, address string, err error) {
+	if isTimeout(err) {
+		return
+	}
+	r.watch.config.Log.Warn("relay given up", "relay", address, "during", relayShun, "err", err)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.shunned = now + relayShun
+}
+
 // hold notes that a relay is at work with a request; the result ends that.
 func (r *relays) hold(u *hop.Conn, repeatable bool) (end func()) {
 	if !repeatable {
@@ -105,7 +115,10 @@
 	if kind.Idempotent() {
 		h.Set(relay.HeaderRepeatable, "1")
 	}
-	if kind == policy.Download && r.rate != "" {
+	if r.rate != "" {
 		h.Set(relay.HeaderRate, r.rate)
 	}
+	if kind == policy.Download {
+		h.Set(relay.HeaderBulk, "1")
+	}
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -9,11 +9,12 @@
 	"strconv"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"github.com/hornbeamstack/hornbeamstack/internal/hop"
 )
 
+// headBytes is what the head of an answer takes on a link, about.
+const headBytes = 512
+
 // exchange is one request of an entry host and its answer.
 type exchange struct {
 	session    *session
@@ -23,7 +24,8 @@
 	target     string
 	address    string
 	repeatable bool
-	rate       float64 // bytes a second that the answer may take, 0 for any
+	rate       float64 // bytes a second that the entry host's link carries, 0 if unknown
+	bulk       bool    // the answer waits for others of the entry host
 	received   time.Duration
 	complete   bool // the whole request was sent
 }
@@ -31,7 +33,7 @@
 func newExchange(s *session, request *http.Request, body []byte) *exchange {
 	h := request.Header
 	x := &exchange{session: s, request: request, body: body, call: s.server.config.Codec.Call(h),
-		target: h.Get(HeaderTarget), address: h.Get(HeaderAddress), repeatable: h.Get(HeaderRepeatable) != "", received: s.server.now()}
+		target: h.Get(HeaderTarget), address: h.Get(HeaderAddress), repeatable: h.Get(HeaderRepeatable) != "", bulk: h.Get(HeaderBulk) != "", received: s.server.now()}
 	if bytesPerSecond, err := strconv.ParseFloat(h.Get(HeaderRate), 64); err == nil && bytesPerSecond > 0 {
 		x.rate = bytesPerSecond
 	}
@@ -137,15 +139,17 @@
 	if err := writeHead(s.writer, response.StatusCode, header); err != nil {
 		return err
 	}
-	var limiter *rate.Limiter
+	var p *pacer
 	if x.rate > 0 {
-		limiter = s.server.pacers.begin(s.host, x.rate)
-		defer s.server.pacers.end(s.host)
+		p = s.server.pacers.of(time.Now(), s.host, x.rate)
+		if err := p.take(ctx, headBytes, x.bulk); err != nil {
+			return err
+		}
 	}
 	if bodyless {
 		return nil
 	}
-	return x.copyBody(ctx, response.Body, chunked, limiter)
+	return x.copyBody(ctx, response.Body, chunked, p)
 }
 
 func writeHead(w io.Writer, status int, header http.Header) error {
@@ -159,15 +163,15 @@
 	return err
 }
 
-// copyBody passes a body on; each part leaves as soon as the limiter allows it.
-func (x *exchange) copyBody(ctx context.Context, body io.Reader, chunked bool, limiter *rate.Limiter) error {
+// copyBody passes a body on; each part leaves as soon as the pacer allows it.
+func (x *exchange) copyBody(ctx context.Context, body io.Reader, chunked bool, p *pacer) error {
 	w := x.session.writer
 	buffer := make([]byte, paceBurst)
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
-			if limiter != nil {
-				if err := limiter.WaitN(ctx, n); err != nil {
+			if p != nil {
+				if err := p.take(ctx, n, x.bulk); err != nil {
 					return err
 				}
 			}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -160,7 +160,7 @@
 		e := dialRelay(t, address)
 		for j := range 3 {
 			id := fmt.Sprint(i, ".", j)
-			e.send(id, "t", s.address, "body"+id, time.Second, HeaderRate+": 1000000\r\n", HeaderRepeatable+": 1\r\n")
+			e.send(id, "t", s.address, "body"+id, time.Second, HeaderRate+": 1000000\r\n", HeaderBulk+": 1\r\n", HeaderRepeatable+": 1\r\n")
 			if r, body := e.read(); r.StatusCode != 200 || body != "body"+id || r.Header.Get("Id") != id {
 				t.Fatalf("request %s got %d %q", id, r.StatusCode, body)
 			}
@@ -170,7 +170,7 @@
 		t.Errorf("%d connections to the target, want 1", n)
 	}
 	for _, r := range s.requests() {
-		for _, name := range []string{HeaderTarget, HeaderAddress, HeaderRepeatable, HeaderRate} {
+		for _, name := range []string{HeaderTarget, HeaderAddress, HeaderRepeatable, HeaderRate, HeaderBulk} {
 			if r.Header.Get(name) != "" {
 				t.Errorf("the target received header %s", name)
 			}
@@ -258,7 +258,7 @@
 				}
 			})
 			e := dialRelay(t, address)
-			e.send("1", "t", s.address, "", 5*time.Second, HeaderRate+": 100000000\r\n")
+			e.send("1", "t", s.address, "", 5*time.Second, HeaderRate+": 100000000\r\n", HeaderBulk+": 1\r\n")
 			r, body := e.read()
 			if body != c.want || r.Header.Get(HeaderOutcome) != "" {
 				t.Errorf("body of %d bytes, outcome %q, want %d bytes", len(body), r.Header.Get(HeaderOutcome), len(c.want))
@@ -308,21 +308,33 @@
 	<-stopped
 }
 
-// Guards against downloads of one entry host that together exceed its rate.
+// Guards against bulk answers of one entry host that together exceed its link,
+// and against other answers that wait behind them.
 func TestPacersAreShared(t *testing.T) {
 	p := newPacers()
-	first, second, other := p.begin("a", 1000), p.begin("a", 1000), p.begin("b", 500)
-	if first != second || first == other || first.Limit() != 1000 || first.Burst() != paceBurst || other.Limit() != 500 {
-		t.Error("requests of a host do not share its limiter")
+	now := time.Now()
+	first, other := p.of(now, "a", 1000), p.of(now, "b", 500)
+	if p.of(now, "a", 1000) != first || first == other || first.limiter.Limit() != 1000 || other.limiter.Limit() != 500 {
+		t.Error("requests of a host do not share its pacer")
 	}
-	p.end("a")
-	if p.begin("a", 2000) != first {
-		t.Error("the limiter was replaced while it was in use")
+	if p.of(now, "a", 2000); first.limiter.Limit() != 2000 {
+		t.Errorf("the rate stays %v", first.limiter.Limit())
 	}
-	p.end("a")
-	p.end("a")
-	p.end("b")
-	if len(p.hosts) != 0 {
-		t.Errorf("%d limiters stay", len(p.hosts))
+	ctx, cancel := context.WithCancel(context.Background())
+	for range 4 { // more than the burst: these never wait
+		if err := first.take(ctx, paceBurst, false); err != nil {
+			t.Error(err)
+		}
+	}
+	if left := first.limiter.Tokens(); left > -2*paceBurst {
+		t.Errorf("%v bytes may be sent at once after four full parts", left)
+	}
+	cancel()
+	if err := first.take(ctx, 1, true); err == nil {
+		t.Error("a bulk answer did not wait")
+	}
+	p.of(now.Add(2*pacerForget), "c", 1000)
+	if len(p.hosts) != 1 {
+		t.Errorf("%d pacers are kept, want the one in use", len(p.hosts))
 	}
 }
