Keep objects of large answers in the caller's zone and region

Change: affinity.Layout divides objects of large answers apart: the own region and zone serve them up to twice the average load of a slot.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/hornbeamstack/hornbeamstack/pkg/affinity"
 	"github.com/hornbeamstack/hornbeamstack/pkg/evidence"
+	"github.com/hornbeamstack/hornbeamstack/pkg/policy"
 	"github.com/hornbeamstack/hornbeamstack/pkg/roster"
 )
 
@@ -28,7 +29,8 @@
 		key = d.exchange.call.ID
 	}
 	object := affinity.Object(d.service+d.exchange.route.Prefix, key)
-	order := table.Order(g.config.Region, object, d.exchange.route.Allows)
+	order := table.Order(affinity.Place{Zone: g.config.Zone, Region: g.config.Region}, object,
+		d.exchange.route.Kind == policy.Download, d.exchange.route.Allows)
 	if len(order) >= homes && order[0].Region == order[1].Region && g.balance.Moves(object, order[0].Name, order[1].Name) {
 		order[0], order[1] = order[1], order[0]
 	}
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -137,37 +137,21 @@
 // build makes the tables of all services; the lock is held.
 func (v *view) build(now time.Duration, revision uint64) {
 	lists := map[string][]affinity.Target{}
-	rooms := map[string]map[string]int{}
 	for _, t := range v.targets.All() {
 		if !v.usable(now, &t) {
 			continue
 		}
-		region := v.config.Regions[t.Zone]
 		lists[t.Service] = append(lists[t.Service], affinity.Target{
-			Name: t.Name, Zone: t.Zone, Region: region, Slots: t.Slots,
+			Name: t.Name, Zone: t.Zone, Region: v.config.Regions[t.Zone], Slots: t.Slots,
 		})
-		if rooms[t.Service] == nil {
-			rooms[t.Service] = map[string]int{}
-		}
-		rooms[t.Service][region] += t.Slots
 	}
 	v.tables = map[string]*affinity.Table{}
 	for service, list := range lists {
-		v.tables[service] = affinity.NewTable(list, affinity.Splits(v.evenDemand(), rooms[service]))
+		v.tables[service] = affinity.NewTable(list, affinity.NewLayout(v.config.Regions, list))
 	}
 	v.built, v.revision, v.stale = now, revision, false
 }
 
-// evenDemand gives each availability zone the same demand. The split of objects
-// over regions then follows the places alone and does not move with the traffic.
-func (v *view) evenDemand() map[string]float64 {
-	demand := map[string]float64{}
-	for _, region := range v.config.Regions {
-		demand[region]++
-	}
-	return demand
-}
-
 func (v *view) usable(now time.Duration, t *roster.Target) bool {
 	if t.Leaving || slices.Contains(v.evacuated, t.Zone) {
 		return false
--- a/pkg/affinity/affinity_test.go
+++ b/pkg/affinity/affinity_test.go
@@ -21,11 +21,7 @@
 }
 
 func table(list []Target) *Table {
-	rooms := map[string]int{}
-	for _, t := range list {
-		rooms[t.Region] += t.Slots
-	}
-	return NewTable(list, Splits(map[string]float64{"a": 1, "b": 1, "c": 1}, rooms))
+	return NewTable(list, NewLayout(map[string]string{"za": "a", "zb": "b", "zc": "c"}, list))
 }
 
 // Guards against moving objects whose targets are still there.
@@ -40,10 +36,10 @@
 		}
 	}
 	// The split over regions is kept, so that only the target's own objects have to move.
-	after := NewTable(rest, before.splits)
+	after := NewTable(rest, before.layout)
 	for i := range 2000 {
 		object := Object("s", fmt.Sprint(i))
-		first, second := before.Order("a", object, everywhere)[0].Name, after.Order("a", object, everywhere)[0].Name
+		first, second := before.Order(Place{"za", "a"}, object, false, everywhere)[0].Name, after.Order(Place{"za", "a"}, object, false, everywhere)[0].Name
 		if first != gone && first != second {
 			t.Fatalf("object %d moved from %s to %s", i, first, second)
 		}
@@ -54,7 +50,7 @@
 func TestSplitsKeepToTheSlots(t *testing.T) {
 	demand := map[string]float64{"a": 1, "b": 1, "c": 1}
 	slots := map[string]int{"a": 8, "b": 40, "c": 40}
-	splits := Splits(demand, slots)
+	splits := Splits(demand, slots, localHeadroom)
 	load := map[string]float64{}
 	for region, split := range splits {
 		sum := 0.0
@@ -81,13 +77,13 @@
 func TestOrderKeepsToAllowedRegions(t *testing.T) {
 	tab := table(targets(map[string]int{"a": 1, "b": 5, "c": 5}))
 	for i := range 200 {
-		for _, target := range tab.Order("a", Object("s", fmt.Sprint(i)), func(r string) bool { return r == "c" }) {
+		for _, target := range tab.Order(Place{"za", "a"}, Object("s", fmt.Sprint(i)), false, func(r string) bool { return r == "c" }) {
 			if target.Region != "c" {
 				t.Fatalf("target %s of region %s", target.Name, target.Region)
 			}
 		}
 	}
-	if n := len(table(nil).Order("a", 1, everywhere)); n != 0 {
+	if n := len(table(nil).Order(Place{"za", "a"}, 1, false, everywhere)); n != 0 {
 		t.Errorf("%d targets of an empty table", n)
 	}
 }
@@ -95,10 +91,10 @@
 // Guards against targets that get objects out of proportion to their slots.
 func TestObjectsFollowSlots(t *testing.T) {
 	list := []Target{{Name: "x", Region: "a", Slots: 2}, {Name: "y", Region: "a", Slots: 8}}
-	tab := NewTable(list, Splits(map[string]float64{"a": 1}, map[string]int{"a": 10}))
+	tab := NewTable(list, NewLayout(map[string]string{"za": "a"}, list))
 	n := 0
 	for i := range 10000 {
-		if tab.Order("a", Object("s", fmt.Sprint(i)), everywhere)[0].Name == "y" {
+		if tab.Order(Place{"za", "a"}, Object("s", fmt.Sprint(i)), false, everywhere)[0].Name == "y" {
 			n++
 		}
 	}
@@ -159,3 +155,48 @@
 		t.Errorf("average %v after a minute of silence", v)
 	}
 }
+
+// Guards against large answers that cross zones and regions although the
+// targets nearby have room, and against weak zones that get too much.
+func TestLargeAnswersStayNear(t *testing.T) {
+	regions := map[string]string{"a1": "a", "a2": "a", "b1": "b", "b2": "b"}
+	var list []Target
+	for zone, n := range map[string]int{"a1": 1, "a2": 1, "b1": 9, "b2": 9} {
+		for i := range n {
+			list = append(list, Target{Name: fmt.Sprint(zone, i), Zone: zone, Region: regions[zone], Slots: 4})
+		}
+	}
+	tab := NewTable(list, NewLayout(regions, list))
+	const objects = 5000
+	shares := func(caller Place, bulk bool) (zone, region float64) {
+		for i := range objects {
+			first := tab.Order(caller, Object("s", fmt.Sprint(i)), bulk, everywhere)[0]
+			if first.Zone == caller.Zone {
+				zone++
+			}
+			if first.Region == caller.Region {
+				region++
+			}
+		}
+		return zone / objects, region / objects
+	}
+	cases := []struct {
+		caller       Place
+		bulk         bool
+		zone, region float64
+	}{
+		{Place{"b1", "b"}, false, 0.5, 1},
+		{Place{"b1", "b"}, true, 1, 1},
+		// Zone a1 has a twentieth of the slots and a quarter of the callers: it serves
+		// bulkHeadroom times its part, a fifth, of what its region serves. The
+		// rest of that goes to both zones of the region.
+		{Place{"a1", "a"}, false, 0.11, 0.22},
+		{Place{"a1", "a"}, true, 0.4 * (0.4 + 0.6/2), 0.4},
+	}
+	for _, c := range cases {
+		zone, region := shares(c.caller, c.bulk)
+		if math.Abs(zone-c.zone) > 0.03 || math.Abs(region-c.region) > 0.03 {
+			t.Errorf("callers of %s, bulk %v: %.2f in the zone and %.2f in the region, want %.2f and %.2f", c.caller.Zone, c.bulk, zone, region, c.zone, c.region)
+		}
+	}
+}
--- a/pkg/affinity/split.go
+++ b/pkg/affinity/split.go
@@ -13,9 +13,9 @@
 type Split map[string]float64
 
 // Splits divides the demand of each region over the slots of all regions: the
-// own region first, up to localHeadroom above the average load, the rest where
-// there is room. Regions without demand are given one, too.
-func Splits(demand map[string]float64, slots map[string]int) map[string]Split {
+// own region first, up to headroom times the average load, the rest where there
+// is room. Regions without demand are given one, too.
+func Splits(demand map[string]float64, slots map[string]int, headroom float64) map[string]Split {
 	totalDemand, totalSlots := 0.0, 0
 	for _, d := range demand {
 		totalDemand += d
@@ -27,7 +27,7 @@
 	if totalSlots == 0 {
 		return splits
 	}
-	limit := localHeadroom * totalDemand / float64(totalSlots) // load of one slot
+	limit := headroom * totalDemand / float64(totalSlots) // load of one slot
 	room, totalRoom := map[string]float64{}, 0.0
 	for region, n := range slots {
 		if spare := limit*float64(n) - demand[region]; spare > 0 {
--- a/pkg/affinity/table.go
+++ b/pkg/affinity/table.go
@@ -13,13 +13,13 @@
 type Table struct {
 	targets []Target // sorted by name
 	seeds   []uint64
-	splits  map[string]Split // by region of the caller
-	regions []string         // sorted
+	layout  Layout
+	regions []string // sorted
 }
 
-// NewTable returns a table of the targets with the splits of each region's callers.
-func NewTable(targets []Target, splits map[string]Split) *Table {
-	t := &Table{targets: slices.Clone(targets), splits: splits}
+// NewTable returns a table of the targets, whose objects are divided by a layout.
+func NewTable(targets []Target, layout Layout) *Table {
+	t := &Table{targets: slices.Clone(targets), layout: layout}
 	slices.SortFunc(t.targets, func(a, b Target) int { return strings.Compare(a.Name, b.Name) })
 	for _, target := range t.targets {
 		t.seeds = append(t.seeds, xxhash.Sum64String(target.Name))
@@ -42,13 +42,22 @@
 	return h.Sum64()
 }
 
-// Order returns the targets for an object of a caller in region, best first:
-// those of the region that serves the object, then all others, each by rank.
-func (t *Table) Order(region string, object uint64, allowed func(region string) bool) []Target {
-	serving := t.servingRegion(region, object, allowed)
+// Order returns the targets for an object of a caller, best first: those of the
+// region that serves the object, then all others, each by rank. Targets of the
+// caller's availability zone come first for most objects of bulk requests, whose
+// answers are large.
+func (t *Table) Order(caller Place, object uint64, bulk bool, allowed func(region string) bool) []Target {
+	splits, nearest := t.layout.usual, ""
+	if bulk {
+		splits = t.layout.bulk
+		if unit(mix(object^zoneSalt)) < t.layout.zones[caller.Zone] {
+			nearest = caller.Zone
+		}
+	}
+	serving := t.servingRegion(splits[caller.Region], caller.Region, object, allowed)
 	type ranked struct {
 		index int
-		first bool
+		group int // lower ones come first
 		score float64
 	}
 	list := make([]ranked, 0, len(t.targets))
@@ -58,16 +67,17 @@
 		}
 		point := unit(mix(object ^ t.seeds[i]))
 		score := -math.Log(point) / float64(target.Slots)
-		list = append(list, ranked{i, target.Region == serving, score})
-	}
-	slices.SortFunc(list, func(a, b ranked) int {
-		if a.first != b.first {
-			if a.first {
-				return -1
+		group := groupOther
+		if target.Region == serving {
+			group = groupRegion
+			if target.Zone == nearest {
+				group = groupNearest
 			}
-			return 1
 		}
-		return cmp.Compare(a.score, b.score)
+		list = append(list, ranked{i, group, score})
+	}
+	slices.SortFunc(list, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(a.group, b.group), cmp.Compare(a.score, b.score))
 	})
 	targets := make([]Target, len(list))
 	for i, r := range list {
@@ -76,9 +86,15 @@
 	return targets
 }
 
-// servingRegion picks the region that serves an object by the splits.
-func (t *Table) servingRegion(region string, object uint64, allowed func(string) bool) string {
-	split := t.splits[region]
+// Groups of targets in the order for an object.
+const (
+	groupNearest = iota // of the caller's zone, in the region that serves the object
+	groupRegion         // of the region that serves the object
+	groupOther
+)
+
+// servingRegion picks the region that serves an object by the split of a region's callers.
+func (t *Table) servingRegion(split Split, region string, object uint64, allowed func(string) bool) string {
 	sum := 0.0
 	for _, r := range t.regions {
 		if allowed(r) {
@@ -112,6 +128,9 @@
 // regionSalt makes the choice of a region independent of that of a target.
 const regionSalt = 0x9e3779b97f4a7c15
 
+// zoneSalt makes the choice of a zone independent of both.
+const zoneSalt = 0x94d049bb133111eb
+
 // mix spreads the bits of x (the finalizer of SplitMix64).
 func mix(x uint64) uint64 {
 	x ^= x >> 30
--- a/pkg/affinity/target.go
+++ b/pkg/affinity/target.go
@@ -1,5 +1,8 @@
 package affinity
 
+// Place is where callers are.
+type Place struct{ Zone, Region string }
+
 // Target is a target that may be chosen.
 type Target struct {
 	Name   string
