Use a relay of the region while the zone's is silent

Refusals keep away from one relay only. Its callers still lose a second each to the frozen host's directory.

--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -36,12 +36,12 @@
 	rate  string // bytes a second that the own link carries, empty if unknown
 
 	mu      sync.Mutex
-	shunned time.Duration      // not to be used before
-	holds   map[*hop.Conn]bool // at work with requests that may be repeated
+	shunned map[string]time.Duration // relays that are not to be used before
+	holds   map[*hop.Conn]string     // at work with requests that may be repeated, with the relay's address
 }
 
 func newRelays(w *watch, p *hop.Pool, linkRate float64) *relays {
-	r := &relays{watch: w, pool: p, holds: map[*hop.Conn]bool{}}
+	r := &relays{watch: w, pool: p, shunned: map[string]time.Duration{}, holds: map[*hop.Conn]string{}}
 	if linkRate > 0 {
 		r.rate = strconv.FormatFloat(linkRate*linkUse, 'f', 0, 64)
 	}
@@ -50,11 +50,8 @@
 
 // connect returns a connection to the relay, nil if there is none to use.
 func (r *relays) connect(now time.Duration, repeatable bool) *hop.Conn {
-	address, silent := r.watch.relay()
-	r.mu.Lock()
-	usable := address != "" && silent < relaySilence && now >= r.shunned
-	r.mu.Unlock()
-	if !usable {
+	address := r.watch.relay(relaySilence)
+	if address == "" || r.shuns(now, address) {
 		return nil
 	}
 	u := r.pool.Get(address, repeatable)
@@ -77,7 +74,18 @@
 	r.watch.config.Log.Warn("relay given up", "relay", address, "during", relayShun, "err", err)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.shunned = now + relayShun
+	r.shunned[address] = now + relayShun
+}
+
+// shuns reports whether a relay is left alone.
+func (r *relays) shuns(now time.Duration, address string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	until, ok := r.shunned[address]
+	if ok && now >= until {
+		delete(r.shunned, address)
+	}
+	return ok && now < until
 }
 
 // hold notes that a relay is at work with a request; the result ends that.
@@ -87,7 +95,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.holds[u] = true
+	r.holds[u] = u.Address()
 	return func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
@@ -95,16 +103,15 @@
 	}
 }
 
-// check ends the connections of a relay whose host is silent, so that what they
+// check ends the connections of relays whose hosts are silent, so that what they
 // carried is sent again.
 func (r *relays) check() {
-	if _, silent := r.watch.relay(); silent < relayLost {
-		return
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for u := range r.holds {
-		u.Close()
+	for u, address := range r.holds {
+		if r.watch.relaySilent(address) >= relayLost {
+			u.Close()
+		}
 	}
 }
 
--- a/internal/gateway/relays_test.go
+++ b/internal/gateway/relays_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/rcrowley/go-metrics"
@@ -140,3 +141,31 @@
 		t.Errorf("the target received %v", h)
 	}
 }
+
+// Guards against a relay far away, or one whose host is silent, while a nearer one works.
+func TestNearestRelay(t *testing.T) {
+	f := newFixture(t, ok)
+	w := f.gateway.watch
+	set := func(name, zone, region string, silent time.Duration) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.controls[name] = &controlState{control: fleet.Control{Peer: name, Zone: zone, Region: region, Relay: name}, answered: w.now() - silent}
+	}
+	time.Sleep(time.Millisecond) // a host that was never heard has the time zero
+	set("far", "z3", "r2", 0)
+	if got := w.relay(relaySilence); got != "" {
+		t.Errorf("relay %q of another region is used", got)
+	}
+	set("region", "z2", "r1", 0)
+	if got := w.relay(relaySilence); got != "region" {
+		t.Errorf("relay %q, want that of the region", got)
+	}
+	set("zone", "z1", "r1", 0)
+	if got := w.relay(relaySilence); got != "zone" {
+		t.Errorf("relay %q, want that of the zone", got)
+	}
+	set("zone", "z1", "r1", relaySilence)
+	if got := w.relay(relaySilence); got != "region" {
+		t.Errorf("relay %q while the zone's is silent, want that of the region", got)
+	}
+}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -119,15 +120,22 @@
 	})
 }
 
+// Distances of control hosts.
+const (
+	ownZone = iota
+	ownRegion
+	otherRegion
+)
+
 // distance orders control hosts: own availability zone, own region, others.
 func (w *watch) distance(c *controlState) int {
 	switch {
 	case c.control.Zone == w.config.Zone:
-		return 0
+		return ownZone
 	case c.control.Region == w.config.Region:
-		return 1
+		return ownRegion
 	}
-	return 2
+	return otherRegion
 }
 
 // nearer reports whether a nearer control host than c is free.
@@ -228,24 +236,31 @@
 	}
 }
 
-// relay returns the address of the relay of the own availability zone that was
-// heard last, with the time since its control host answered; "" if there is none.
-func (w *watch) relay() (address string, silent time.Duration) {
+// relay returns the address of a relay whose host was heard within a time: that
+// of the own availability zone, or else one of the own region; "" if there is none.
+func (w *watch) relay(within time.Duration) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	best := w.best(func(c *controlState) bool {
+		return c.control.Relay != "" && c.answered > 0 && w.now()-c.answered < within && w.distance(c) < otherRegion
+	})
+	if best == nil {
+		return ""
+	}
+	return best.control.Relay
+}
+
+// relaySilent returns the time since the host of a relay was heard.
+func (w *watch) relaySilent(address string) time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	var best *controlState
+	silent := time.Duration(math.MaxInt64)
 	for _, c := range w.controls {
-		if c.control.Zone != w.config.Zone || c.control.Relay == "" || c.answered == 0 {
-			continue
+		if c.control.Relay == address {
+			silent = min(silent, w.now()-c.answered)
 		}
-		if best == nil || c.answered > best.answered {
-			best = c
-		}
-	}
-	if best == nil {
-		return "", 0
 	}
-	return best.control.Relay, w.now() - best.answered
+	return silent
 }
 
 // informed reports whether a control host in contact with a majority has answered.
--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -173,6 +173,9 @@
 	_ = u.conn.Close()
 }
 
+// Address is where the connection leads to.
+func (u *Conn) Address() string { return u.address }
+
 // Fresh reports whether no earlier request was sent on the connection.
 func (u *Conn) Fresh() bool { return u.fresh }
 
