Refuse early at overloaded targets, the less urgent requests first

Change: pkg/admission. While the average load of a target, as all entry hosts report it, is over 2.8 requests a slot, a growing part of its requests is refused at once with a pause, of the least urgent priority first, 0.3 of all at most.

--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/hornbeamstack/hornbeamstack/pkg/affinity"
 	"github.com/hornbeamstack/hornbeamstack/pkg/evidence"
 	"github.com/hornbeamstack/hornbeamstack/pkg/roster"
 )
@@ -68,6 +69,9 @@
 			}
 			return d.giveUp(last)
 		}
+		if first && !d.admitted(t.Name) {
+			return g.refuse(x, reasonBusy, "service", d.service, "target", t.Name, "priority", x.route.Priority)
+		}
 		d.tried[t.Name] = true
 		if last.reply != nil && last.reply.finish != nil {
 			last.reply.finish(false)
@@ -90,6 +94,13 @@
 	}
 }
 
+// admitted reports whether a target has room for a request of this urgency.
+func (d *delivery) admitted(target string) bool {
+	x := d.exchange
+	rank, ranks := x.policy.Urgency(x.route, d.service)
+	return d.gateway.gate.Admits(target, affinity.Point("admission", x.call.ID), rank, ranks)
+}
+
 // note logs and counts an attempt.
 func (d *delivery) note(t *roster.Target, e *evidence.Target, a attempt) {
 	g, x := d.gateway, d.exchange
--- a/internal/gateway/delivery_test.go
+++ b/internal/gateway/delivery_test.go
@@ -282,3 +282,35 @@
 		}
 	}
 }
+
+// Guards against work that is queued at a target which cannot end it in time,
+// and against refusals of urgent requests before less urgent ones.
+func TestBusyTargetRefusesLessUrgentWork(t *testing.T) {
+	f := newFixture(t, ok)
+	p := f.gateway.view.current()
+	for i := range p.Routes {
+		p.Routes[i].Priority = 2
+		if p.Routes[i].Kind == policy.Unsafe {
+			p.Routes[i].Priority = 1
+		}
+	}
+	p.Index()
+	for range 100 {
+		f.gateway.gate.Step(time.Second, map[string]float64{"t0": 10})
+	}
+	refused := map[string]int{}
+	for i := range 50 {
+		for _, kind := range []string{"safe", "unsafe"} {
+			r, _ := f.do("GET", "/"+kind+"/x", fmt.Sprint(kind, i), "")
+			if r.StatusCode == 503 && r.Header.Get("Retry-After") != "" {
+				refused[kind]++
+			}
+		}
+	}
+	if refused["safe"] < 15 || refused["unsafe"] != 0 {
+		t.Errorf("refused of 50 each: %v", refused)
+	}
+	if n := len(f.targets[0].ids()); n != 100-refused["safe"] {
+		t.Errorf("the target read %d requests, %d were refused", n, refused["safe"])
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 
 	"github.com/hornbeamstack/hornbeamstack/internal/fleet"
 	"github.com/hornbeamstack/hornbeamstack/internal/hop"
+	"github.com/hornbeamstack/hornbeamstack/pkg/admission"
 	"github.com/hornbeamstack/hornbeamstack/pkg/affinity"
 	"github.com/hornbeamstack/hornbeamstack/pkg/evidence"
 )
@@ -42,6 +43,7 @@
 	cold    *coldLimiter
 	reports *reports
 	balance *affinity.Balance
+	gate    *admission.Gate
 	large   *downloads
 	relays  *relays
 	meters  *meters
@@ -56,7 +58,7 @@
 func New(c Config) *Gateway {
 	g := &Gateway{config: c, log: c.Log, start: time.Now(), started: time.Now().UnixNano(),
 		board: evidence.NewBoard(), callers: map[*caller]bool{}, splits: newSplitters(),
-		reports: newReports(), balance: affinity.NewBalance(), meters: newMeters()}
+		reports: newReports(), balance: affinity.NewBalance(), gate: admission.NewGate(), meters: newMeters()}
 	g.large = newDownloads(c.LinkRate)
 	g.view = newView(&g.config)
 	g.watch = newWatch(&g.config, g.view, g.now, g.self, g.reports, g.meters)
@@ -127,7 +129,9 @@
 		}
 		g.observe()
 		g.relays.check()
-		g.balance.Step(housekeepingInterval, g.reports.averages(func(name string) bool { _, ok := g.view.targets.Find(name); return ok }))
+		loads := g.reports.averages(func(name string) bool { _, ok := g.view.targets.Find(name); return ok })
+		g.balance.Step(housekeepingInterval, loads)
+		g.gate.Step(housekeepingInterval, loads)
 		g.board.Keep(func(k evidence.Key) bool {
 			t, ok := g.view.targets.Find(k.Name)
 			return ok && int64(t.Life) == k.Life
--- a/internal/gateway/own_answers.go
+++ b/internal/gateway/own_answers.go
@@ -15,6 +15,7 @@
 	reasonNoTarget   reason = "no_target"
 	reasonNoneTook   reason = "no_target_took_it"
 	reasonLinkBusy   reason = "link_busy"
+	reasonBusy       reason = "target_busy"
 	reasonCallerLeft reason = "caller_left"
 )
 
@@ -24,6 +25,7 @@
 	reasonNoTarget:   "no target of the service is known",
 	reasonNoneTook:   "no target could take the request",
 	reasonLinkBusy:   "the link is busy with other downloads",
+	reasonBusy:       "the target has too much work",
 	reasonCallerLeft: "the caller has left",
 }
 
--- /dev/null
+++ b/pkg/admission/gate.go
@@ -0,0 +1,65 @@
+package admission
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// busyLoad and calmLoad are the average requests at a target, for each of its
+	// slots, above which more is refused and below which less is.
+	busyLoad = 2.8
+	calmLoad = 2.4
+	// rise is by how much the refused part grows in a second for each unit of load
+	// beyond busyLoad, at most maxRise; fall is by how much it shrinks in a second.
+	rise    = 0.2
+	maxRise = 0.2
+	fall    = 0.1
+	// maxRefused leaves each target work that shows whether it is still busy.
+	maxRefused = 0.3
+)
+
+// Gate holds the part of the requests to each target that is refused. It is
+// safe for concurrent use.
+type Gate struct {
+	mu    sync.RWMutex
+	parts map[string]float64
+}
+
+// NewGate returns a gate that refuses nothing.
+func NewGate() *Gate { return &Gate{parts: map[string]float64{}} }
+
+// Step takes the loads of all targets, in requests for each slot, for a period.
+func (g *Gate) Step(period time.Duration, loads map[string]float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for name, load := range loads {
+		part := g.parts[name]
+		switch {
+		case load > busyLoad:
+			part = min(maxRefused, part+min(maxRise, (load-busyLoad)*rise)*period.Seconds())
+		case load < calmLoad:
+			part -= fall * period.Seconds()
+		}
+		if part > 0 {
+			g.parts[name] = part
+		} else {
+			delete(g.parts, name)
+		}
+	}
+	for name := range g.parts {
+		if _, ok := loads[name]; !ok {
+			delete(g.parts, name)
+		}
+	}
+}
+
+// Admits reports whether a request to a target is sent. Point, in [0, 1), is
+// drawn for the request. Rank is that of its urgency among ranks, 0 the most
+// urgent: requests of a rank are refused once all less urgent ones are.
+func (g *Gate) Admits(target string, point float64, rank, ranks int) bool {
+	g.mu.RLock()
+	part := g.parts[target]
+	g.mu.RUnlock()
+	return point >= float64(ranks)*part-float64(ranks-1-rank)
+}
--- /dev/null
+++ b/pkg/admission/gate_test.go
@@ -0,0 +1,77 @@
+package admission
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+// refused is the part of many requests that a gate refuses.
+func refused(g *Gate, target string, rank, ranks int) float64 {
+	n := 0
+	for i := range 1000 {
+		if !g.Admits(target, float64(i)/1000, rank, ranks) {
+			n++
+		}
+	}
+	return float64(n) / 1000
+}
+
+// Guards against refusals by calm targets, against busy ones that refuse
+// nothing or everything, and against refusals that stay.
+func TestGateFollowsTheLoad(t *testing.T) {
+	g := NewGate()
+	steps := func(n int, load float64) {
+		for range n {
+			g.Step(500*time.Millisecond, map[string]float64{"t": load, "calm": 0.5})
+		}
+	}
+	steps(100, (busyLoad+calmLoad)/2)
+	if part := refused(g, "t", 0, 1); part != 0 {
+		t.Errorf("%v of the requests refused at a usual load", part)
+	}
+	steps(2, busyLoad+2)
+	if part := refused(g, "t", 0, 1); math.Abs(part-maxRise) > 0.002 {
+		t.Errorf("%v refused after a second of overload, want %v", part, maxRise)
+	}
+	steps(100, busyLoad+2)
+	if part := refused(g, "t", 0, 1); math.Abs(part-maxRefused) > 1e-3 {
+		t.Errorf("%v refused under lasting overload, want %v", part, maxRefused)
+	}
+	if part := refused(g, "calm", 0, 1); part != 0 {
+		t.Errorf("%v refused for a calm target", part)
+	}
+	steps(20, 1)
+	if part := refused(g, "t", 0, 1); part != 0 {
+		t.Errorf("%v refused ten seconds after the overload", part)
+	}
+	steps(4, busyLoad+2)
+	g.Step(time.Second, nil)
+	if part := refused(g, "t", 0, 1); part != 0 {
+		t.Errorf("%v refused for a target that is gone", part)
+	}
+}
+
+// Guards against urgent requests that are refused while less urgent ones are sent.
+func TestLessUrgentRequestsAreRefusedFirst(t *testing.T) {
+	cases := []struct {
+		part float64
+		want []float64 // by rank
+	}{
+		{0, []float64{0, 0}},
+		{0.2, []float64{0, 0.4}},
+		{0.5, []float64{0, 1}},
+		{0.7, []float64{0.4, 1}},
+		{0.25, []float64{0, 0, 0.75}},
+		{0.5, []float64{0, 0.5, 1}},
+	}
+	for _, c := range cases {
+		g := NewGate()
+		g.parts["t"] = c.part
+		for rank, want := range c.want {
+			if got := refused(g, "t", rank, len(c.want)); math.Abs(got-want) > 0.002 {
+				t.Errorf("part %v: %v of rank %d refused, want %v", c.part, got, rank, want)
+			}
+		}
+	}
+}
--- a/pkg/affinity/table.go
+++ b/pkg/affinity/table.go
@@ -42,6 +42,9 @@
 	return h.Sum64()
 }
 
+// Point maps a key to (0, 1), alike on all hosts.
+func Point(scope, key string) float64 { return unit(mix(Object(scope, key))) }
+
 // Order returns the targets for an object of a caller, best first: those of the
 // region that serves the object, then all others, each by rank. Targets of the
 // caller's availability zone come first for most objects of bulk requests, whose
--- a/pkg/policy/policy.go
+++ b/pkg/policy/policy.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"strings"
 	"time"
 )
@@ -34,6 +35,8 @@
 	Services map[string]Service
 
 	hosts map[string][]*Route
+	// urgency holds the priorities of the routes to each service, ascending.
+	urgency map[string][]int
 }
 
 // Match returns the route of a host with the longest prefix of path, nil if there is none.
@@ -53,12 +56,25 @@
 	return best
 }
 
-// Index prepares Match; it is called once after the routes are set.
+// Urgency returns the rank of a route among the priorities of all routes to a
+// service, 0 the most urgent, and how many there are.
+func (p *Policy) Urgency(r *Route, service string) (rank, ranks int) {
+	list := p.urgency[service]
+	rank, _ = slices.BinarySearch(list, r.Priority)
+	return rank, len(list)
+}
+
+// Index prepares Match and Urgency; it is called once after the routes are set.
 func (p *Policy) Index() {
-	p.hosts = map[string][]*Route{}
+	p.hosts, p.urgency = map[string][]*Route{}, map[string][]int{}
 	for i := range p.Routes {
 		r := &p.Routes[i]
 		host := strings.ToLower(r.Host)
 		p.hosts[host] = append(p.hosts[host], r)
+		for _, s := range r.Shares {
+			if at, found := slices.BinarySearch(p.urgency[s.Service], r.Priority); !found {
+				p.urgency[s.Service] = slices.Insert(p.urgency[s.Service], at, r.Priority)
+			}
+		}
 	}
 }
--- a/pkg/policy/policy_test.go
+++ b/pkg/policy/policy_test.go
@@ -74,3 +74,22 @@
 		t.Errorf("counts %v", counts)
 	}
 }
+
+// Guards against requests that are taken for more or less urgent than the
+// others of their service.
+func TestUrgency(t *testing.T) {
+	to := func(service string, priority int) Route {
+		return Route{Host: "h", Prefix: "/", Priority: priority, Shares: []Share{{Service: service, Weight: 1}}}
+	}
+	p := &Policy{Routes: []Route{to("a", 2), to("a", 1), to("a", 2), to("b", 2), to("a", 7)}}
+	p.Index()
+	for i, want := range []int{1, 0, 1, 0, 2} {
+		service, ranks := "a", 3
+		if i == 3 {
+			service, ranks = "b", 1
+		}
+		if rank, n := p.Urgency(&p.Routes[i], service); rank != want || n != ranks {
+			t.Errorf("route %d has rank %d of %d, want %d of %d", i, rank, n, want, ranks)
+		}
+	}
+}
