--- a/internal/core/announce.go
+++ b/internal/core/announce.go
@@ -20,12 +20,13 @@
 	now := n.now()
 	fresh := n.fresh()
 	leaving := a.Leaving
-	if n.targets.Note(now, roster.Report{Announcement: a}) {
+	news := n.targets.Note(now, roster.Report{Announcement: a})
+	if news {
 		n.changed.notify()
 		n.config.Log.Info("target announced", "target", a.Name, "service", a.Service, "address", a.Address, "zone", a.Zone,
 			"life", a.Life, "sequence", a.Sequence, "leaving", leaving, "cold", a.ColdFor)
 	}
-	n.direct.note(a.Name, now)
+	n.direct.note(a.Name, now, news)
 	if leaving {
 		return n.depart(ctx, desired.Departure{Name: a.Name, Life: a.Life})
 	}
--- a/internal/core/entries.go
+++ b/internal/core/entries.go
@@ -19,7 +19,9 @@
 	heard time.Duration
 	// direct is when the entry host itself called, zero if it did not.
 	direct time.Duration
-	logged string // state as last logged
+	// changed is when the other control hosts last had to be told in full.
+	changed time.Duration
+	logged  string // state as last logged
 }
 
 // entryTable holds the entry hosts that this host has heard of.
@@ -41,6 +43,7 @@
 		r = &entryRecord{}
 		t.records[e.Name] = r
 	}
+	first := direct && r.direct == 0
 	if direct {
 		r.direct = now
 	}
@@ -49,9 +52,36 @@
 	}
 	changed := !ok || r.entry.Ready != e.Ready || r.entry.Started != e.Started
 	r.entry, r.heard = e, heard
+	if changed || first || now-r.changed > refreshAfter {
+		r.changed = now
+	}
 	return changed
 }
 
+// alive takes the news that an entry host has called another control host. It
+// reports whether the start of the entry host is known.
+func (t *entryTable) alive(now time.Duration, a fleet.Alive) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, ok := t.records[a.Name]
+	if !ok || r.entry.Started < a.Started {
+		return false
+	}
+	if r.entry.Started == a.Started {
+		r.heard = max(r.heard, now-time.Duration(a.AgeMs)*time.Millisecond)
+	}
+	return true
+}
+
+// refresh makes an entry host be told in full to all control hosts once more.
+func (t *entryTable) refresh(now time.Duration, name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r, ok := t.records[name]; ok {
+		r.changed = now
+	}
+}
+
 // entryChange is a change of what this host believes of an entry host.
 type entryChange struct {
 	name, zone, state string
@@ -79,21 +109,25 @@
 	return list
 }
 
-// recent returns the entry hosts that called this host within the time.
-func (t *entryTable) recent(now, within time.Duration) []fleet.Seen {
+// since returns the entry hosts that called this host within entryNews: in full
+// those with a change after told, in short the others.
+func (t *entryTable) since(told, now time.Duration) (news []fleet.Seen, alive []fleet.Alive) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var list []fleet.Seen
 	for name, r := range t.records {
 		if now-r.heard > entryForget {
 			delete(t.records, name)
 			continue
 		}
-		if r.direct > 0 && now-r.direct <= within {
-			list = append(list, fleet.Seen{Entry: r.entry, Age: now - r.heard})
+		switch {
+		case r.direct == 0 || now-r.direct > entryNews:
+		case r.changed > told:
+			news = append(news, fleet.Seen{Entry: r.entry, Age: now - r.heard})
+		default:
+			alive = append(alive, fleet.Alive{Name: name, Started: r.entry.Started, AgeMs: (now - r.heard).Milliseconds()})
 		}
 	}
-	return list
+	return news, alive
 }
 
 // live returns the entry hosts that were heard of lately.
--- a/internal/core/exchange.go
+++ b/internal/core/exchange.go
@@ -34,12 +34,7 @@
 
 func (n *Node) tell(ctx context.Context, address string, told time.Duration) {
 	now := n.now()
-	message := fleet.Exchange{From: n.self, Entries: n.entries.recent(now, entryNews)}
-	for _, name := range n.direct.since(told, now) {
-		if t, ok := n.targets.Find(name); ok {
-			message.Targets = append(message.Targets, roster.ReportOf(&t, now))
-		}
-	}
+	message := n.newsSince(told, now)
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	reply, err := peer.Call[fleet.Exchange, fleet.ExchangeReply](ctx, n.config.Client, address, fleet.MethodExchange, message)
@@ -50,6 +45,30 @@
 	for _, c := range reply.Controls {
 		n.others.learn(n.now(), c)
 	}
+	for _, name := range reply.Unknown {
+		n.direct.refresh(name, n.now())
+	}
+	for _, name := range reply.UnknownEntries {
+		n.entries.refresh(n.now(), name)
+	}
+}
+
+// newsSince is what this host heard itself after a time.
+func (n *Node) newsSince(told, now time.Duration) fleet.Exchange {
+	message := fleet.Exchange{From: n.self}
+	message.Entries, message.Alive = n.entries.since(told, now)
+	news, beats := n.direct.since(told, now)
+	for _, name := range news {
+		if t, ok := n.targets.Find(name); ok {
+			message.Targets = append(message.Targets, roster.ReportOf(&t, now))
+		}
+	}
+	for _, name := range beats {
+		if t, ok := n.targets.Find(name); ok {
+			message.Beats = append(message.Beats, roster.BeatOf(&t, now))
+		}
+	}
+	return message
 }
 
 // receive takes the news of another control host.
@@ -60,11 +79,25 @@
 	for i := range m.Targets {
 		changed = n.targets.Note(now, m.Targets[i]) || changed
 	}
+	reply := fleet.ExchangeReply{}
+	for _, b := range m.Beats {
+		news, known := n.targets.NoteBeat(now, b)
+		changed = news || changed
+		if !known {
+			reply.Unknown = append(reply.Unknown, b.Name)
+		}
+	}
 	for _, e := range m.Entries {
 		n.entries.note(now, e.Age, e.Entry, false)
 	}
+	for _, a := range m.Alive {
+		if !n.entries.alive(now, a) {
+			reply.UnknownEntries = append(reply.UnknownEntries, a.Name)
+		}
+	}
 	if changed {
 		n.changed.notify()
 	}
-	return fleet.ExchangeReply{Controls: n.others.known(now)}, nil
+	reply.Controls = n.others.known(now)
+	return reply, nil
 }
--- /dev/null
+++ b/internal/core/exchange_test.go
@@ -0,0 +1,116 @@
+package core
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/fleet"
+	"github.com/hornbeamstack/hornbeamstack/pkg/roster"
+)
+
+// newBareNode is a node with its tables alone, without a group or a network.
+func newBareNode() *Node {
+	n := &Node{targets: roster.New(time.Hour), entries: newEntryTable(), direct: newDirectLog(), changed: newNotifier(), start: time.Now()}
+	n.others = newControlTable(n.self, nil)
+	return n
+}
+
+func (n *Node) hear(now time.Duration, a roster.Announcement) {
+	n.direct.note(a.Name, now, n.targets.Note(now, roster.Report{Announcement: a}))
+}
+
+// Guards against exchanges between control hosts that grow with all that targets
+// say of themselves, and against control hosts that never learn what changed.
+func TestUnchangedTargetsAreToldInShort(t *testing.T) {
+	n := newBareNode()
+	a := roster.Announcement{Name: "t", Life: 1, Sequence: 1, Service: "s", Address: "x:1", Zone: "z", Slots: 2}
+	told := time.Duration(0)
+	steps := []struct {
+		name        string
+		at          time.Duration
+		change      func()
+		full, short int
+	}{
+		{"the first announcement", 1 * time.Second, func() {}, 1, 0},
+		{"an unchanged one", 2 * time.Second, func() { a.Sequence++ }, 0, 1},
+		{"one with other slots", 3 * time.Second, func() { a.Sequence++; a.Slots = 3 }, 1, 0},
+		{"an unchanged one after the time for a refresh", 3*time.Second + refreshAfter + 1, func() { a.Sequence++ }, 1, 0},
+	}
+	for _, s := range steps {
+		s.change()
+		n.hear(s.at, a)
+		m := n.newsSince(told, s.at)
+		if len(m.Targets) != s.full || len(m.Beats) != s.short {
+			t.Errorf("%s: %d targets in full and %d in short, want %d and %d", s.name, len(m.Targets), len(m.Beats), s.full, s.short)
+		}
+		told = s.at
+	}
+	if m := n.newsSince(told, told); len(m.Targets)+len(m.Beats) != 0 {
+		t.Error("the same news is told twice")
+	}
+}
+
+// Guards against a control host that has started again and stays without the
+// targets that the others tell it in short.
+func TestUnknownTargetsAreToldInFull(t *testing.T) {
+	sender, receiver := newBareNode(), newBareNode()
+	a := roster.Announcement{Name: "t", Life: 1, Sequence: 1, Service: "s", Address: "x:1", Zone: "z", Slots: 2}
+	sender.hear(time.Second, a)
+	a.Sequence++
+	sender.hear(2*time.Second, a)
+	reply, err := receiver.receive(t.Context(), "", sender.newsSince(time.Second, 2*time.Second))
+	if err != nil || !slices.Equal(reply.Unknown, []string{"t"}) {
+		t.Fatalf("unknown targets %v, %v", reply.Unknown, err)
+	}
+	sender.direct.refresh("t", 3*time.Second)
+	m := sender.newsSince(2*time.Second, 3*time.Second)
+	if reply, err = receiver.receive(t.Context(), "", m); err != nil || len(reply.Unknown) > 0 {
+		t.Fatalf("unknown targets %v, %v", reply.Unknown, err)
+	}
+	if got, ok := receiver.targets.Find("t"); !ok || got.Sequence != 2 || got.Address != "x:1" {
+		t.Errorf("the receiver holds %+v", got)
+	}
+}
+
+// Guards against entry hosts that fall silent at a control host which hears of
+// them in short, or that it never learns.
+func TestUnchangedEntryHostsAreToldInShort(t *testing.T) {
+	sender, receiver := newBareNode(), newBareNode()
+	told := time.Duration(0)
+	exchange := func(at time.Duration, e fleet.Entry) (full, short int) {
+		sender.entries.note(at, 0, e, true)
+		m := sender.newsSince(told, at)
+		told = at
+		reply, err := receiver.receive(t.Context(), "", m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, name := range reply.UnknownEntries {
+			sender.entries.refresh(at+1, name)
+		}
+		return len(m.Entries), len(m.Alive)
+	}
+	e := fleet.Entry{Name: "e", Front: "x:1", Zone: "z", Ready: true, Started: 5}
+	steps := []struct {
+		name        string
+		change      func()
+		full, short int
+	}{
+		{"the first call", func() {}, 1, 0},
+		{"an unchanged one", func() {}, 0, 1},
+		{"one that is not ready", func() { e.Ready = false }, 1, 0},
+		{"a new start", func() { e.Started++ }, 1, 0},
+		{"one after the receiver has started again", func() { receiver = newBareNode() }, 0, 1},
+		{"the next", func() {}, 1, 0},
+	}
+	for i, s := range steps {
+		s.change()
+		if full, short := exchange(time.Duration(i+1)*time.Second, e); full != s.full || short != s.short {
+			t.Errorf("%s: %d in full and %d in short, want %d and %d", s.name, full, short, s.full, s.short)
+		}
+	}
+	if live := receiver.entries.live(receiver.now()); len(live) != 1 || live[0] != e {
+		t.Errorf("the receiver holds %+v", live)
+	}
+}
--- a/internal/core/judge.go
+++ b/internal/core/judge.go
@@ -9,8 +9,13 @@
 	"github.com/hornbeamstack/hornbeamstack/pkg/evidence"
 )
 
-// loadStep is the change of an average, in tenths, that entry hosts are told.
-const loadStep = 2
+const (
+	// loadStep is the change of an average, in tenths, that entry hosts are told.
+	loadStep = 2
+	// idleLoad is the average, in tenths, below which they are told 0: no entry
+	// host decides anything by such loads.
+	idleLoad = 4
+)
 
 type judgeRecord struct {
 	load   affinity.LoadAverage
@@ -44,7 +49,11 @@
 			continue
 		}
 		r.load.Add(now, float64(report.Tenths))
-		if value := uint16(r.load.Value(now)); value >= r.told.Tenths+loadStep || value+loadStep <= r.told.Tenths {
+		value := uint16(r.load.Value(now))
+		if value < idleLoad {
+			value = 0
+		}
+		if value >= r.told.Tenths+loadStep || value+loadStep <= r.told.Tenths {
 			r.told.Tenths = value
 			j.changed(r)
 		}
--- a/internal/fleet/exchange.go
+++ b/internal/fleet/exchange.go
@@ -13,11 +13,19 @@
 	From    Control         `cbor:"1,keyasint"`
 	Targets []roster.Report `cbor:"2,keyasint,omitempty"`
 	Entries []Seen          `cbor:"3,keyasint,omitempty"`
+	// Beats are targets that announced themselves again without a change.
+	Beats []roster.Beat `cbor:"4,keyasint,omitempty"`
+	// Alive are entry hosts that called again without a change.
+	Alive []Alive `cbor:"5,keyasint,omitempty"`
 }
 
 // ExchangeReply names the control hosts that the receiver knows.
 type ExchangeReply struct {
 	Controls []Control `cbor:"1,keyasint,omitempty"`
+	// Unknown are targets of Beats that the receiver has to be told in full,
+	// UnknownEntries the same of Alive.
+	Unknown        []string `cbor:"2,keyasint,omitempty"`
+	UnknownEntries []string `cbor:"3,keyasint,omitempty"`
 }
 
 // Submission is an encoded command for the leader.
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -18,6 +18,14 @@
 	Age time.Duration `cbor:"20,keyasint"`
 }
 
+// Alive says that an entry host has called again without a change.
+type Alive struct {
+	_       struct{} `cbor:",toarray"`
+	Name    string
+	Started int64
+	AgeMs   int64 // milliseconds since the call
+}
+
 // Control is a control host.
 type Control struct {
 	Peer   string `cbor:"1,keyasint"`
