--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -25,6 +25,7 @@
 	RetryWindow time.Duration
 	ColdOverage float64 // factor above the stated rate that a cold target still bears
 	ColdSlack   float64 // requests a second that it bears besides
+	MostIdle    int     // kept connections to targets and relays
 	LinkRate    float64 // bytes a second of this host's own link, 0 if unknown
 	Codec       hop.Codec
 	Decode      func(body []byte) (*policy.Policy, finding.List)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,7 +62,7 @@
 	g.large = newDownloads(c.LinkRate)
 	g.view = newView(&g.config)
 	g.watch = newWatch(&g.config, g.view, g.now, g.self, g.reports, g.meters)
-	g.pool = hop.NewPool(c.Codec, g.now)
+	g.pool = hop.NewPool(c.Codec, g.now, c.MostIdle)
 	g.relays = newRelays(g.watch, g.pool, c.LinkRate)
 	g.budgets = newBudgets(&g.config)
 	g.cold = newColdLimiter(&g.config, g.view)
--- a/internal/gateway/relays_test.go
+++ b/internal/gateway/relays_test.go
@@ -29,7 +29,7 @@
 // startRelay starts a real relay; known says whether it knows the targets.
 func startRelay(t *testing.T, known bool) string {
 	t.Helper()
-	s := relay.New(relay.Config{Codec: fakeCodec{}, Known: func(string, string) bool { return known },
+	s := relay.New(relay.Config{Codec: fakeCodec{}, MostIdle: 100, Known: func(string, string) bool { return known },
 		Metrics: metrics.NewRegistry(), Log: log.New(io.Discard)})
 	return listen(t, func(ctx context.Context, l net.Listener) { s.Serve(ctx, l) })
 }
--- a/internal/hop/pool.go
+++ b/internal/hop/pool.go
@@ -20,13 +20,17 @@
 	codec Codec
 	now   func() time.Duration
 
-	mu   sync.Mutex
-	idle map[string][]*Conn
+	most int // idle connections that are kept
+
+	mu    sync.Mutex
+	idle  map[string][]*Conn
+	count int // of idle connections
 }
 
-// NewPool returns an empty pool; now is the time since some start.
-func NewPool(codec Codec, now func() time.Duration) *Pool {
-	return &Pool{codec: codec, now: now, idle: map[string][]*Conn{}}
+// NewPool returns an empty pool that keeps so many idle connections at most; now
+// is the time since some start.
+func NewPool(codec Codec, now func() time.Duration, most int) *Pool {
+	return &Pool{codec: codec, now: now, most: most, idle: map[string][]*Conn{}}
 }
 
 // Get returns an idle connection, the one used last first, nil if there is none.
@@ -45,11 +49,13 @@
 			if repeatable {
 				go u.Close()
 				list = list[:len(list)-1]
+				p.count--
 				continue
 			}
 			break // older ones are below it
 		}
 		list = list[:len(list)-1]
+		p.count--
 		p.idle[address] = list
 		if u.usable() {
 			return u
@@ -81,18 +87,19 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.count >= p.most {
+		go u.Close()
+		return
+	}
 	p.idle[u.address] = append(p.idle[u.address], u)
+	p.count++
 }
 
 // Size is the number of idle connections.
 func (p *Pool) Size() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := 0
-	for _, list := range p.idle {
-		n += len(list)
-	}
-	return n
+	return p.count
 }
 
 func (p *Pool) drop(u *Conn) {
@@ -102,6 +109,7 @@
 	for i, o := range list {
 		if o == u {
 			p.idle[u.address] = append(list[:i:i], list[i+1:]...)
+			p.count--
 			break
 		}
 	}
--- /dev/null
+++ b/internal/hop/pool_test.go
@@ -0,0 +1,93 @@
+package hop
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// plainCodec reads no headers but the id.
+type plainCodec struct{}
+
+func (plainCodec) Call(h http.Header) Call                    { return Call{ID: h.Get("Id")} }
+func (plainCodec) Forward(http.Header, time.Duration, string) {}
+func (plainCodec) Answer(_ int, h http.Header) Answer         { return Answer{ID: h.Get("Id")} }
+func (plainCodec) Refuse(http.Header, time.Duration)          {}
+func (plainCodec) Echo(h http.Header, id string)              { h.Set("Id", id) }
+
+// listen starts a target that answers every request.
+func listen(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				br := bufio.NewReader(conn)
+				for {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Id"))
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// use sends a request on a new connection and returns it after the answer.
+func use(t *testing.T, p *Pool, address string) *Conn {
+	t.Helper()
+	u, err := p.Dial(address, time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	responses, ok := u.Expect(&http.Request{Method: "GET"}, "1")
+	if !ok {
+		t.Fatal("a new connection cannot be used")
+	}
+	fmt.Fprint(u, "GET / HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\n")
+	if r := <-responses; r.Err != nil {
+		t.Fatal(r.Err)
+	}
+	return u
+}
+
+// Guards against kept connections that use up the descriptors of a process, and
+// against a count that drifts from what is kept.
+func TestPoolKeepsABoundedNumber(t *testing.T) {
+	now := time.Duration(0)
+	p := NewPool(plainCodec{}, func() time.Duration { return now }, 3)
+	addresses := []string{listen(t), listen(t)}
+	for i := range 5 {
+		p.Put(use(t, p, addresses[i%2]))
+	}
+	if p.Size() != 3 {
+		t.Errorf("%d connections are kept, want 3", p.Size())
+	}
+	if u := p.Get(addresses[0], true); u == nil || p.Size() != 2 {
+		t.Errorf("connection %v, %d stay", u, p.Size())
+	}
+	now = time.Minute
+	for _, address := range addresses {
+		if u := p.Get(address, true); u != nil {
+			t.Error("a connection that was idle for a minute is used")
+		}
+	}
+	if p.Size() != 0 {
+		t.Errorf("%d connections are counted, none is kept", p.Size())
+	}
+}
--- a/internal/platformnode/core.go
+++ b/internal/platformnode/core.go
@@ -44,7 +44,7 @@
 		Server: server, Client: client, Log: l,
 	})
 	go func() { _ = server.Serve(ctx, listener) }() // it ends with ctx
-	r := relay.New(relay.Config{Codec: platform.Codec{}, Known: n.TargetAt, Metrics: n.Metrics(), Log: l})
+	r := relay.New(relay.Config{Codec: platform.Codec{}, MostIdle: s.MostIdle(), Known: n.TargetAt, Metrics: n.Metrics(), Log: l})
 	if err := serveRelay(ctx, s, r); err != nil {
 		return err
 	}
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -10,6 +10,8 @@
 // Config describes a relay.
 type Config struct {
 	Codec hop.Codec
+	// MostIdle bounds the kept connections to targets.
+	MostIdle int
 	// Known reports whether a target is at an address; a relay sends nowhere else.
 	Known   func(target, address string) bool
 	Metrics metrics.Registry
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -102,7 +102,7 @@
 // startRelay starts a relay that knows the target "t" at any address but "nowhere".
 func startRelay(t *testing.T) (*Server, string) {
 	t.Helper()
-	s := New(Config{Codec: testCodec{}, Known: func(name, _ string) bool { return name == "t" },
+	s := New(Config{Codec: testCodec{}, MostIdle: 100, Known: func(name, _ string) bool { return name == "t" },
 		Metrics: metrics.NewRegistry(), Log: log.New(io.Discard)})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -36,7 +36,7 @@
 // New returns a relay; Serve starts it.
 func New(c Config) *Server {
 	s := &Server{config: c, start: time.Now(), pacers: newPacers(), sampler: telemetry.NewSampler()}
-	s.pool = hop.NewPool(c.Codec, s.now)
+	s.pool = hop.NewPool(c.Codec, s.now, c.MostIdle)
 	return s
 }
 
