One pause, one log line for failures within the rate; say by which way a request went

internal/wait replaces three copies of the same pause; Sampler.Warn replaces two of the bounded failure line. Lines of attempts carry via=relay or via=direct, so that on-call finds the relay's lines.

--- a/internal/core/group.go
+++ b/internal/core/group.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hornbeamstack/hornbeamstack/internal/replica"
+	"github.com/hornbeamstack/hornbeamstack/internal/wait"
 )
 
 const (
@@ -25,16 +26,16 @@
 		g, err := replica.Start(n.groupConfig())
 		if err != nil {
 			n.config.Log.Error("agreement cannot start", "err", err)
-			sleep(ctx, reopenInterval)
+			_ = wait.For(ctx, reopenInterval) // the loops look at ctx
 			continue
 		}
 		n.setGroup(g)
 		for ctx.Err() == nil && g.Status().Err == nil {
-			sleep(ctx, groupCheck)
+			_ = wait.For(ctx, groupCheck)
 		}
 		n.setGroup(nil)
 		g.Stop()
-		sleep(ctx, reopenInterval)
+		_ = wait.For(ctx, reopenInterval)
 	}
 }
 
@@ -62,10 +63,3 @@
 		Server: n.config.Server, Client: n.config.Client, Machine: n.machine, Log: n.config.Log,
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/desired/machine.go
+++ b/internal/desired/machine.go
@@ -135,12 +135,6 @@
 	return i >= 0 && s.Orders.Departures[i].Life >= d.Life
 }
 
-// IsEvacuated reports whether an availability zone is to get no work.
-func (s *State) IsEvacuated(zone string) bool {
-	_, found := slices.BinarySearch(s.Orders.Evacuated, zone)
-	return found
-}
-
 // State returns the present state, whose slices must not be changed, and a
 // channel that is closed with the next change.
 func (m *Machine) State() (State, <-chan struct{}) {
--- a/internal/desired/machine_test.go
+++ b/internal/desired/machine_test.go
@@ -48,7 +48,7 @@
 	}
 	for i, c := range orders {
 		apply(t, m, uint64(i+1), c)
-		if s, _ := m.State(); s.Index != want.Index || s.IsEvacuated("b") {
+		if s, _ := m.State(); s.Index != want.Index || slices.Contains(s.Orders.Evacuated, "b") {
 			t.Fatalf("entry %d was applied again: %+v", i+1, s)
 		}
 	}
@@ -68,7 +68,7 @@
 		t.Fatal(err)
 	}
 	s, _ := fresh.State()
-	if s.Document.Version != 1 || !s.IsEvacuated("a") || !s.Left(Departure{Name: "t", Life: 7}) || heard != 1 {
+	if s.Document.Version != 1 || !slices.Contains(s.Orders.Evacuated, "a") || !s.Left(Departure{Name: "t", Life: 7}) || heard != 1 {
 		t.Errorf("restored %+v, %d departures told", s, heard)
 	}
 	if err := fresh.Restore(old); err != nil {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -54,6 +54,7 @@
 	if a := d.sendByRelay(t, e); a.outcome != notTaken {
 		return a
 	}
+	d.via = "direct"
 	idempotent := d.exchange.route.Kind.Idempotent()
 	u := g.pool.Get(t.Address, idempotent)
 	if u == nil {
@@ -89,7 +90,7 @@
 		return attempt{outcome: notTaken}
 	}
 	defer g.relays.hold(u, idempotent)()
-	d.relayed = true
+	d.relayed, d.via = true, "relay"
 	defer func() { d.relayed = false }()
 	sent := g.now()
 	a := d.send(u, t, e)
--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -35,6 +35,7 @@
 	service  string
 	deadline time.Duration
 	tried    map[string]bool
+	via      string        // how the last attempt went: "relay" or "direct"
 	relayed  bool          // the attempt at work goes to a relay
 	direct   bool          // no relay is used any more
 	atTarget time.Duration // between sendings and their results
@@ -107,7 +108,7 @@
 	now := g.now()
 	g.meters.count("attempt." + strings.ReplaceAll(a.outcome.String(), " ", "_"))
 	pairs := []any{"id", x.call.ID, "target", t.Name, "address", t.Address, "zone", t.Zone, "slots", t.Slots,
-		"attempt", d.runs + d.unrun + 1, "evidence", e.Verdict(now), "heard", now - t.Heard, "outcome", a.outcome, "after", now - x.received}
+		"attempt", d.runs + d.unrun + 1, "evidence", e.Verdict(now), "heard", now - t.Heard, "via", d.via, "outcome", a.outcome, "after", now - x.received}
 	if a.outcome == answered {
 		g.meters.answered(x.route.Kind, a.reply.status, now-x.received, d.atTarget)
 		if g.meters.sampler.Routine(x.call.ID) {
--- a/internal/gateway/own_answers.go
+++ b/internal/gateway/own_answers.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"time"
 )
 
 // reason says why a request was refused. Refused requests have not run.
@@ -54,12 +53,5 @@
 
 // logFailure logs what went wrong with a request, within a rate.
 func (g *Gateway) logFailure(message string, pairs ...any) {
-	omitted, ok := g.meters.sampler.Failure(time.Now())
-	if !ok {
-		return
-	}
-	if omitted > 0 {
-		pairs = append(pairs, "omitted_before", omitted)
-	}
-	g.log.Warn(message, pairs...)
+	g.meters.sampler.Warn(g.log, message, pairs...)
 }
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -10,6 +10,7 @@
 
 	"github.com/hornbeamstack/hornbeamstack/internal/fleet"
 	"github.com/hornbeamstack/hornbeamstack/internal/peer"
+	"github.com/hornbeamstack/hornbeamstack/internal/wait"
 )
 
 const (
@@ -85,7 +86,7 @@
 	for ctx.Err() == nil {
 		c := w.take()
 		if c == nil {
-			pause(ctx, idlePause)
+			_ = wait.For(ctx, idlePause) // the loop looks at ctx
 			continue
 		}
 		for ctx.Err() == nil && w.pull(ctx, c) && !w.nearer(c) {
@@ -276,10 +277,3 @@
 	defer w.mu.Unlock()
 	return w.now() - w.fresh
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -11,6 +11,7 @@
 	"github.com/hornbeamstack/hornbeamstack/internal/links"
 	"github.com/hornbeamstack/hornbeamstack/internal/rollout"
 	"github.com/hornbeamstack/hornbeamstack/internal/settings"
+	"github.com/hornbeamstack/hornbeamstack/internal/wait"
 	"github.com/hornbeamstack/hornbeamstack/internal/zone"
 	"github.com/hornbeamstack/hornbeamstack/pkg/bundle"
 )
@@ -143,7 +144,7 @@
 // it, it serves until cached look-up answers have expired, then it finishes
 // what is in flight. Body transfers have no time limit; ctx may set one.
 func (e *Entry) Stop(ctx context.Context) error {
-	shutdown := entry.Shutdown{Surface: e.surface, Membership: membership{e}, Pause: sleep, Log: e.log}
+	shutdown := entry.Shutdown{Surface: e.surface, Membership: membership{e}, Pause: wait.For, Log: e.log}
 	err := shutdown.Run(ctx)
 	e.drainClaims(ctx)
 	e.stopRuns()
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -1,9 +1,6 @@
 package node
 
-import (
-	"context"
-	"time"
-)
+import "context"
 
 // membership adapts the zone runtime to entry.Membership.
 type membership struct{ entry *Entry }
@@ -16,15 +13,3 @@
 	m.entry.stopRuns()
 	return nil
 }
-
-// sleep waits for the duration or the end of ctx.
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -224,14 +224,6 @@
 // log logs what went wrong with the request, within a rate.
 func (x *exchange) log(message string, err error, detail ...any) {
 	s := x.session.server
-	omitted, ok := s.sampler.Failure(time.Now())
-	if !ok {
-		return
-	}
-	pairs := append([]any{"id", x.call.ID, "target", x.target, "address", x.address, "entry", x.session.host,
-		"after", s.now() - x.received, "err", err}, detail...)
-	if omitted > 0 {
-		pairs = append(pairs, "omitted_before", omitted)
-	}
-	s.config.Log.Warn(message, pairs...)
+	s.sampler.Warn(s.config.Log, message, append([]any{"id", x.call.ID, "target", x.target, "address", x.address,
+		"entry", x.session.host, "after", s.now() - x.received, "err", err}, detail...)...)
 }
--- a/internal/telemetry/sampler.go
+++ b/internal/telemetry/sampler.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/charmbracelet/log"
 	"golang.org/x/time/rate"
 )
 
@@ -32,6 +33,18 @@
 // processes decide alike, so the lines of one request are kept together.
 func (s *Sampler) Routine(id string) bool { return xxhash.Sum64String(id)%routineShare == 0 }
 
+// Warn logs a line about a failed request, within the rate.
+func (s *Sampler) Warn(l *log.Logger, message string, pairs ...any) {
+	omitted, ok := s.Failure(time.Now())
+	if !ok {
+		return
+	}
+	if omitted > 0 {
+		pairs = append(pairs, "omitted_before", omitted)
+	}
+	l.Warn(message, pairs...)
+}
+
 // Failure reports whether a line about a failure is logged, and how many were
 // omitted before it.
 func (s *Sampler) Failure(now time.Time) (omitted int, ok bool) {
