Refuse only what both homes of an object are too busy for

Change: what a busy target would refuse goes to the object's second home; it is refused if that is busy, too.

--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -64,15 +64,18 @@
 			return d.giveUp(last)
 		}
 		t, e, ok := g.choose(d)
+		if ok && first && !d.admitted(t.Name) {
+			d.tried[t.Name] = true
+			if t, e, ok = g.choose(d); !ok || !d.admitted(t.Name) {
+				return g.refuse(x, reasonBusy, "service", d.service, "priority", x.route.Priority)
+			}
+		}
 		if !ok {
 			if first {
 				return g.refuse(x, reasonNoTarget, "service", d.service)
 			}
 			return d.giveUp(last)
 		}
-		if first && !d.admitted(t.Name) {
-			return g.refuse(x, reasonBusy, "service", d.service, "target", t.Name, "priority", x.route.Priority)
-		}
 		d.tried[t.Name] = true
 		if last.reply != nil && last.reply.finish != nil {
 			last.reply.finish(false)
--- a/internal/gateway/delivery_test.go
+++ b/internal/gateway/delivery_test.go
@@ -314,3 +314,21 @@
 		t.Errorf("the target read %d requests, %d were refused", n, refused["safe"])
 	}
 }
+
+// Guards against refusals because of one busy target while the object's second
+// home has room.
+func TestBusyTargetHandsWorkToItsSecondHome(t *testing.T) {
+	f := newFixture(t, ok, ok)
+	busy := f.order(policy.Safe)[0]
+	for range 100 {
+		f.gateway.gate.Step(time.Second, map[string]float64{fmt.Sprint("t", busy): 10})
+	}
+	for i := range 50 {
+		if r, _ := f.do("GET", "/safe/x", fmt.Sprint(i), ""); r.StatusCode != 200 {
+			t.Errorf("request %d was answered %d", i, r.StatusCode)
+		}
+	}
+	if first, second := len(f.targets[busy].ids()), len(f.targets[1-busy].ids()); second == 0 || first == 0 {
+		t.Errorf("the busy target read %d requests, the other home %d", first, second)
+	}
+}
