--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -19,8 +19,8 @@
 	// relayLost is the silence after which the requests that it holds are sent
 	// again, as far as they may be.
 	relayLost = pullWait + 1100*time.Millisecond
-	// relayDialTimeout bounds the opening of a connection inside the zone. The own
-	// link may be full of answers meanwhile.
+	// relayDialTimeout bounds the opening of a connection inside the region. The
+	// own link may be full of answers meanwhile.
 	relayDialTimeout = hop.DialTimeout
 	// relayShun is how long a relay that did not take a connection is left alone.
 	relayShun = 500 * time.Millisecond
@@ -28,8 +28,8 @@
 	linkUse = 0.92
 )
 
-// relays sends requests by way of the availability zone's relay while its host
-// is in contact.
+// relays chooses the relay that requests go through: the nearest one of the region
+// whose host is in contact.
 type relays struct {
 	watch *watch
 	pool  *hop.Pool
@@ -48,7 +48,7 @@
 	return r
 }
 
-// connect returns a connection to the relay, nil if there is none to use.
+// connect returns a connection to a relay, nil if there is none to use.
 func (r *relays) connect(now time.Duration, repeatable bool) *hop.Conn {
 	address := r.watch.relay(relaySilence)
 	if address == "" || r.shuns(now, address) {
