--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -237,33 +236,6 @@
 	}
 }
 
-// relay returns the address of a relay whose host was heard within a time: that
-// of the own availability zone, or else one of the own region; "" if there is none.
-func (w *watch) relay(within time.Duration) string {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	best := w.best(func(c *controlState) bool {
-		return c.control.Relay != "" && c.answered > 0 && w.now()-c.answered < within && w.distance(c) < otherRegion
-	})
-	if best == nil {
-		return ""
-	}
-	return best.control.Relay
-}
-
-// relaySilent returns the time since the host of a relay was heard.
-func (w *watch) relaySilent(address string) time.Duration {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	silent := time.Duration(math.MaxInt64)
-	for _, c := range w.controls {
-		if c.control.Relay == address {
-			silent = min(silent, w.now()-c.answered)
-		}
-	}
-	return silent
-}
-
 // informed reports whether a control host in contact with a majority has answered.
 func (w *watch) informed() bool {
 	w.mu.Lock()
--- /dev/null
+++ b/internal/relay/answer.go
@@ -0,0 +1,97 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/hop"
+)
+
+// headBytes is what the head of an answer takes on a link, about.
+const headBytes = 512
+
+// answer returns a target's response to the entry host as it comes. Its last
+// bytes stay in the session's writer.
+func (x *exchange) answer(ctx context.Context, response *http.Response) error {
+	s := x.session
+	header := hop.PassedOn(response.Header)
+	Strip(header)
+	bodyless := x.request.Method == http.MethodHead || response.StatusCode == http.StatusNoContent || response.StatusCode == http.StatusNotModified
+	chunked := response.ContentLength < 0 && !bodyless
+	if chunked {
+		header.Set("Transfer-Encoding", "chunked")
+	} else if response.ContentLength >= 0 && response.StatusCode != http.StatusNoContent {
+		header.Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
+	}
+	_ = s.conn.SetWriteDeadline(time.Now().Add(x.left())) // the write reports a connection that has ended
+	if err := writeHead(s.writer, response.StatusCode, header); err != nil {
+		return err
+	}
+	var p *pacer
+	if x.rate > 0 {
+		p = s.server.pacers.of(time.Now(), s.host, x.rate)
+		if err := p.take(ctx, headBytes, x.bulk); err != nil {
+			return err
+		}
+	}
+	if bodyless {
+		return nil
+	}
+	return x.copyBody(ctx, response.Body, chunked, p)
+}
+
+func writeHead(w io.Writer, status int, header http.Header) error {
+	if _, err := fmt.Fprintf(w, "HTTP/1.1 %03d %s\r\n", status, http.StatusText(status)); err != nil {
+		return err
+	}
+	if err := header.Write(w); err != nil {
+		return err
+	}
+	_, err := io.WriteString(w, "\r\n")
+	return err
+}
+
+// copyBody passes a body on; each part leaves as soon as the pacer allows it.
+func (x *exchange) copyBody(ctx context.Context, body io.Reader, chunked bool, p *pacer) error {
+	w := x.session.writer
+	buffer := make([]byte, paceBurst)
+	for {
+		n, err := body.Read(buffer)
+		if n > 0 {
+			if p != nil {
+				if err := p.take(ctx, n, x.bulk); err != nil {
+					return err
+				}
+			}
+			if err := writePart(w, buffer[:n], chunked); err != nil {
+				return err
+			}
+		}
+		if err == io.EOF {
+			if chunked {
+				_, err = io.WriteString(w, "0\r\n\r\n")
+				return err
+			}
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if err := w.Flush(); err != nil {
+			return err
+		}
+	}
+}
+
+func writePart(w io.Writer, part []byte, chunked bool) error {
+	if !chunked {
+		_, err := w.Write(part)
+		return err
+	}
+	_, err := fmt.Fprintf(w, "%x\r\n%s\r\n", len(part), part)
+	return err
+}
