Wait for all parts of a control host to end

A control host forgets its agreement group before the group has stopped, and one that is stopped right after its start has none yet, so the test went on while the group still wrote to the folder.

Ruled out: load of the machine alone. TestStoppedHostWritesNothing stops a host at 20 points of its start and failed on the second one each time.

Change: core.Node counts its loops and messages; Wait returns when they have ended and the folder is closed. The program of control hosts calls it before it exits, the tests after each stop.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -50,9 +52,7 @@
 	h.stop = func() {
 		cancel()
 		<-done
-		for h.node.currentGroup() != nil {
-			time.Sleep(time.Millisecond)
-		}
+		h.node.Wait()
 		h.client.Close()
 	}
 }
@@ -223,3 +223,22 @@
 		t.Errorf("callers of the region are sent to %v", fronts)
 	}
 }
+
+// Guards against a stop that returns while the host still writes to its folder,
+// which a restart on the same folder, or its removal, would meet.
+func TestStoppedHostWritesNothing(t *testing.T) {
+	folder := t.TempDir()
+	for round := range 20 {
+		h := &host{ip: "127.77.4.1", folder: filepath.Join(folder, fmt.Sprint(round))}
+		h.start(t, []string{"127.77.4.1:19461", "127.77.4.2:19461", "127.77.4.3:19461"}, true)
+		time.Sleep(time.Duration(round) * time.Millisecond) // ends the start at different points
+		h.stop()
+		if err := os.RemoveAll(h.folder); err != nil {
+			t.Fatalf("round %d: the folder is still written to: %v", round, err)
+		}
+	}
+	left, err := os.ReadDir(folder)
+	if err != nil || len(left) > 0 {
+		t.Errorf("%d folders came back after the stop, %v", len(left), err)
+	}
+}
--- a/internal/core/exchange.go
+++ b/internal/core/exchange.go
@@ -22,7 +22,7 @@
 	defer ticker.Stop()
 	for {
 		for address, told := range n.others.begin() {
-			go n.tell(ctx, address, told)
+			n.parts.Go(func() { n.tell(ctx, address, told) })
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -45,11 +45,13 @@
 	registry  metrics.Registry
 	inContact bool // as last logged; owned by sweepLoop
 
+	parts sync.WaitGroup // loops and messages on their way
+
 	mu    sync.Mutex
 	group *replica.Group // nil while the disk refuses
 }
 
-// Start starts all parts of the control host. They end with ctx.
+// Start starts all parts of the control host. They end with ctx; Wait tells when.
 func Start(ctx context.Context, c Config) *Node {
 	n := &Node{
 		config: c, self: fleet.Control{Peer: c.Peer, Zone: c.Zone, Region: c.Region, Relay: c.Relay},
@@ -62,12 +64,16 @@
 	peer.Register(c.Server, fleet.MethodPull, n.pull)
 	peer.Register(c.Server, fleet.MethodExchange, n.receive)
 	peer.Register(c.Server, fleet.MethodSubmit, n.submitFor)
-	go n.keepGroup(ctx)
-	go n.exchangeLoop(ctx)
-	go n.sweepLoop(ctx)
+	n.parts.Go(func() { n.keepGroup(ctx) })
+	n.parts.Go(func() { n.exchangeLoop(ctx) })
+	n.parts.Go(func() { n.sweepLoop(ctx) })
 	return n
 }
 
+// Wait returns once all parts have ended and the folder is closed. The context
+// of Start has to be over.
+func (n *Node) Wait() { n.parts.Wait() }
+
 func (n *Node) now() time.Duration { return time.Since(n.start) }
 
 // applied passes a committed command on to the parts that act on it.
--- a/internal/platformnode/core.go
+++ b/internal/platformnode/core.go
@@ -63,6 +63,8 @@
 	go reload(ctx, l, func(s *platform.Settings) { n.SetSeeds(s.SeedPeers()) })
 	<-signals
 	r.Stop(stopLimit(s))
+	cancel()
+	n.Wait()
 	l.Info("control host stopped")
 	return nil
 }
