Move objects between regions only for what a host itself sees

In the first seconds every object runs cold and munster has two targets of bookings. Their requests time out, the control hosts single both out as failing 1.7 and 2.5 s after the start, at 4.3 requests a slot, and since both homes of all their objects were doubtful, the objects left the region at once.

Ruled out: evidence of the entry hosts themselves (evidence was good or full in 42 of 48 time-outs of the first three seconds), the split over regions (it depends on slots only), admission.

Change: a target that is singled out ranks behind the other home of an object, but before targets that are no homes, and only if both homes are in one region (evidence.Outlier). The end of a request's time is no evidence of one host: a target's own 504, a body that stops at the time limit, a caller that leaves during an answer. A relay whose connection ends with the request's time says 'timed out', no longer 'broken', which was repeated and counted as a failure.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -121,17 +121,15 @@
 		// a download depends on this host's own link.
 		slow = 0
 	}
-	switch a.outcome {
-	case answered:
-		failed := a.reply.status >= http.StatusInternalServerError
-		g.reports.work(t.Name, !failed && (slow == 0 || took < slow))
-	case targetError, broken:
-		g.reports.work(t.Name, false)
-	case timedOut:
+	switch {
+	case a.endOfTime():
 		if slow > 0 && took >= slow/2 {
-			// Only the comparison with other targets tells a slow one from a busy
-			// service, so this is no evidence of its own.
 			g.reports.work(t.Name, false)
 		}
+	case a.outcome == answered:
+		failed := a.reply.status >= http.StatusInternalServerError
+		g.reports.work(t.Name, !failed && (slow == 0 || took < slow))
+	case a.outcome == targetError || a.outcome == broken:
+		g.reports.work(t.Name, false)
 	}
 }
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -31,7 +31,10 @@
 	object := affinity.Object(d.service+d.exchange.route.Prefix, key)
 	order := table.Order(affinity.Place{Zone: g.config.Zone, Region: g.config.Region}, object,
 		d.exchange.route.Kind == policy.Download, d.exchange.route.Allows)
-	if len(order) >= homes && order[0].Region == order[1].Region && g.balance.Moves(object, order[0].Name, order[1].Name) {
+	// What all hosts see of a target together moves objects between its homes
+	// only: a busy region would send its callers elsewhere at once otherwise.
+	oneRegion := len(order) >= homes && order[0].Region == order[1].Region
+	if oneRegion && g.balance.Moves(object, order[0].Name, order[1].Name) {
 		order[0], order[1] = order[1], order[0]
 	}
 	var best roster.Target
@@ -41,7 +44,7 @@
 		if d.tried[candidate.Name] {
 			continue
 		}
-		if i >= homes && verdict <= evidence.Full {
+		if i >= homes && verdict < evidence.Doubtful {
 			break // a long queue at a warm target is shorter than cold work elsewhere
 		}
 		t, ok := g.view.targets.Find(candidate.Name)
@@ -53,8 +56,8 @@
 		}
 		e := g.board.Of(evidence.Key{Name: t.Name, Life: int64(t.Life)})
 		v := e.Verdict(now)
-		if v < evidence.Doubtful && g.reports.failing(t.Name) && !g.tries(d.exchange.call.ID) {
-			v = evidence.Doubtful
+		if oneRegion && g.reports.failing(t.Name) && !g.tries(d.exchange.call.ID) {
+			v = max(v, evidence.Outlier)
 		}
 		if v < verdict {
 			best, bestEvidence, verdict = t, e, v
--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -54,6 +54,13 @@
 	relayLost bool
 }
 
+// endOfTime reports whether the request's time ended at the target. Only the
+// comparison with other targets tells a slow one from a busy service, so this is
+// no evidence of its own.
+func (a *attempt) endOfTime() bool {
+	return a.outcome == timedOut || a.reply != nil && a.reply.status == http.StatusGatewayTimeout
+}
+
 // run sends the request until it is answered or must not be sent again.
 func (d *delivery) run() *reply {
 	g, x := d.gateway, d.exchange
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -93,12 +93,16 @@
 		}
 		return attempt{outcome: notRun, released: a.released}
 	}
-	if a.outcome != answered {
+	if a.outcome == broken {
 		e.Failed(now)
+	}
+	if a.outcome != answered {
 		return a
 	}
 	if r.Response.StatusCode >= http.StatusInternalServerError {
-		e.Failed(now)
+		if !a.endOfTime() {
+			e.Failed(now)
+		}
 		if d.exchange.route.Kind.Idempotent() {
 			a.outcome = targetError
 		}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -111,12 +111,21 @@
 	x.complete = err == nil
 	select {
 	case r := <-responses:
-		return r, Broken
+		return r, outcomeOf(ctx)
 	case <-ctx.Done():
 		return hop.Result{Err: ctx.Err()}, TimedOut
 	}
 }
 
+// outcomeOf says why a request that was sent has no answer. The end of its time
+// closes the connection, which the reader may report first.
+func outcomeOf(ctx context.Context) Outcome {
+	if ctx.Err() != nil {
+		return TimedOut
+	}
+	return Broken
+}
+
 // report tells the entry host why there is no answer of the target.
 func (x *exchange) report(outcome Outcome, cause error) bool {
 	s := x.session
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -233,6 +233,19 @@
 	}
 }
 
+// Guards against a lost answer that is reported where the time of the request
+// ended first, which closes the connection: an entry host repeats the one and
+// counts it against the target.
+func TestEndOfTimeIsNoLostAnswer(t *testing.T) {
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	for ctx, want := range map[context.Context]Outcome{context.Background(): Broken, ended: TimedOut} {
+		if got := outcomeOf(ctx); got != want {
+			t.Errorf("outcome %q with the request's time %v, want %q", got, ctx.Err(), want)
+		}
+	}
+}
+
 // Guards against bodies that end early and look complete, and against a
 // target's header that passes for an outcome of the relay.
 func TestBodies(t *testing.T) {
--- a/pkg/evidence/target.go
+++ b/pkg/evidence/target.go
@@ -106,11 +106,14 @@
 const (
 	Good     Verdict = iota
 	Full             // its slots and as many waiting places are taken
+	Outlier          // it fails more than others of its service, as all hosts together see
 	Doubtful         // it fails part of its work
 	Down             // it cannot be reached
 )
 
-func (v Verdict) String() string { return [...]string{"good", "full", "doubtful", "down"}[v] }
+func (v Verdict) String() string {
+	return [...]string{"good", "full", "outlier", "doubtful", "down"}[v]
+}
 
 // Verdict judges the target.
 func (t *Target) Verdict(now time.Duration) Verdict {
