Write the last log lines before a process exits; share the start of both programs

Cause: a process left its last lines, such as the one about its stop, in the queue in front of standard output.

Change: AsyncWriter.Flush waits for the lines queued before, 100 ms at most, so that a blocked output still stops nothing. What RunCore and RunGateway both did at the start is one type now (process), which flushes at its end.

Test: TestFlush.

--- a/internal/platformnode/core.go
+++ b/internal/platformnode/core.go
@@ -3,9 +3,6 @@
 import (
 	"context"
 	"net"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/hornbeamstack/hornbeamstack/internal/core"
@@ -23,50 +20,51 @@
 
 // RunCore runs a control host, with the relay of its availability zone, until SIGTERM.
 func RunCore(s *platform.Settings) error {
-	limitMemory(s)
-	l, w, err := newLogger("hornbeam-core", s.NodeName)
+	p, err := startProcess("hornbeam-core", s)
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	server, client := peer.NewServer(s.Ip), peer.NewClient(s.Ip)
-	client.Bind(net.ParseIP(s.Ip))
+	defer p.end()
 	listener, err := net.Listen("tcp", s.PeerAddress())
 	if err != nil {
 		return err
 	}
-	n := core.Start(ctx, core.Config{
+	server := peer.NewServer(s.Ip)
+	n := core.Start(p.ctx, core.Config{
 		Name: s.Ip, Peer: s.PeerAddress(), Relay: s.RelayAddress(), Zone: s.Zone, Region: s.Region, Folder: s.DataDir,
 		Seeds: s.SeedPeers(), Found: s.Bootstrap, Heartbeat: s.Heartbeat(),
-		Server: server, Client: client, Log: l,
+		Server: server, Client: p.client, Log: p.log,
 	})
-	go func() { _ = server.Serve(ctx, listener) }() // it ends with ctx
-	r := relay.New(relay.Config{Codec: platform.Codec{}, MostIdle: s.MostIdle(), Known: n.TargetAt, Metrics: n.Metrics(), Log: l})
-	if err := serveRelay(ctx, s, r); err != nil {
+	go func() { _ = server.Serve(p.ctx, listener) }() // it ends with ctx
+	r := relay.New(relay.Config{Codec: platform.Codec{}, MostIdle: s.MostIdle(), Known: n.TargetAt, Metrics: n.Metrics(), Log: p.log})
+	if err := p.serveCore(n, r); err != nil {
 		return err
 	}
-	if err := serveHTTP(ctx, s.Listen.Control, platform.ControlHandler(n, l), l); err != nil {
+	p.log.Info("control host started", "zone", s.Zone, "region", s.Region, "seeds", s.Seeds, "first", s.Bootstrap, "relay", s.RelayAddress())
+	go p.reload(func(s *platform.Settings) { n.SetSeeds(s.SeedPeers()) })
+	p.awaitStop()
+	r.Stop(p.stopLimit())
+	p.cancel()
+	n.Wait()
+	p.log.Info("control host stopped")
+	return nil
+}
+
+// serveCore opens the addresses of a control host.
+func (p *process) serveCore(n *core.Node, r *relay.Server) error {
+	s := p.settings
+	if err := serveRelay(p.ctx, s, r); err != nil {
+		return err
+	}
+	if err := serveHTTP(p.ctx, s.Listen.Control, platform.ControlHandler(n, p.log), p.log); err != nil {
 		return err
 	}
 	if s.Listen.Directory != "" {
-		if err := serveHTTP(ctx, s.Listen.Directory, platform.DirectoryHandler(n, directoryTTL), l); err != nil {
+		if err := serveHTTP(p.ctx, s.Listen.Directory, platform.DirectoryHandler(n, directoryTTL), p.log); err != nil {
 			return err
 		}
 	}
-	if err := serveMetrics(ctx, s, n.Metrics(), w, l); err != nil {
-		return err
-	}
-	l.Info("control host started", "zone", s.Zone, "region", s.Region, "seeds", s.Seeds, "first", s.Bootstrap, "relay", s.RelayAddress())
-	go reload(ctx, l, func(s *platform.Settings) { n.SetSeeds(s.SeedPeers()) })
-	<-signals
-	r.Stop(stopLimit(s))
-	cancel()
-	n.Wait()
-	l.Info("control host stopped")
-	return nil
+	return p.serveMetrics(n.Metrics())
 }
 
 // serveRelay serves entry hosts until ctx ends, if the settings have a port for it.
--- a/internal/telemetry/async_test.go
+++ b/internal/telemetry/async_test.go
@@ -44,3 +44,22 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// Guards against a process that exits before its last lines, such as the one
+// about its stop, were written, and against one that cannot exit because its
+// output is blocked.
+func TestFlush(t *testing.T) {
+	out := &stuckWriter{release: make(chan struct{})}
+	w := NewAsyncWriter(out)
+	for range asyncLines / 2 {
+		_, _ = w.Write([]byte("line\n"))
+	}
+	_, _ = w.Write([]byte("last\n"))
+	if w.Flush(time.Millisecond) {
+		t.Error("lines count as written while the output is blocked")
+	}
+	close(out.release)
+	if !w.Flush(time.Minute) || !strings.HasSuffix(out.String(), "last\n") {
+		t.Error("the last line was not written")
+	}
+}
