Refuse at busy targets only while requests run out of time

The load that a queue bears depends on how long the work takes.

Change: an entry host counts for each service how many of its requests ended at a target by their time (losses); the gate of a busy target closes only while that is over 5 in 100, and opens below 2.

Test: TestWorkThatEndsInTimeIsNotRefused (does not build before).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -121,6 +121,9 @@
 		// a download depends on this host's own link.
 		slow = 0
 	}
+	if a.endOfTime() || a.outcome == answered {
+		g.losses.note(g.now(), t.Service, a.endOfTime())
+	}
 	switch {
 	case a.endOfTime():
 		if slow > 0 && took >= slow/2 {
--- a/internal/gateway/delivery_test.go
+++ b/internal/gateway/delivery_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/hornbeamstack/hornbeamstack/internal/hop"
+	"github.com/hornbeamstack/hornbeamstack/pkg/admission"
 	"github.com/hornbeamstack/hornbeamstack/pkg/policy"
 	"github.com/hornbeamstack/hornbeamstack/pkg/roster"
 )
@@ -296,7 +297,7 @@
 	}
 	p.Index()
 	for range 100 {
-		f.gateway.gate.Step(time.Second, map[string]float64{"t0": 10})
+		f.gateway.gate.Step(time.Second, map[string]admission.Load{"t0": {PerSlot: 10, Lost: 0.5}})
 	}
 	refused := map[string]int{}
 	for i := range 50 {
@@ -321,7 +322,7 @@
 	f := newFixture(t, ok, ok)
 	busy := f.order(policy.Safe)[0]
 	for range 100 {
-		f.gateway.gate.Step(time.Second, map[string]float64{fmt.Sprint("t", busy): 10})
+		f.gateway.gate.Step(time.Second, map[string]admission.Load{fmt.Sprint("t", busy): {PerSlot: 10, Lost: 0.5}})
 	}
 	for i := range 50 {
 		if r, _ := f.do("GET", "/safe/x", fmt.Sprint(i), ""); r.StatusCode != 200 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -44,6 +44,7 @@
 	reports *reports
 	balance *affinity.Balance
 	gate    *admission.Gate
+	losses  *losses
 	large   *downloads
 	relays  *relays
 	meters  *meters
@@ -58,7 +59,7 @@
 func New(c Config) *Gateway {
 	g := &Gateway{config: c, log: c.Log, start: time.Now(), started: time.Now().UnixNano(),
 		board: evidence.NewBoard(), callers: map[*caller]bool{}, splits: newSplitters(),
-		reports: newReports(), balance: affinity.NewBalance(), gate: admission.NewGate(), meters: newMeters()}
+		reports: newReports(), balance: affinity.NewBalance(), gate: admission.NewGate(), losses: newLosses(), meters: newMeters()}
 	g.large = newDownloads(c.LinkRate)
 	g.view = newView(&g.config)
 	g.watch = newWatch(&g.config, g.view, g.now, g.self, g.reports, g.meters)
@@ -131,7 +132,7 @@
 		g.relays.check()
 		loads := g.reports.averages(func(name string) bool { _, ok := g.view.targets.Find(name); return ok })
 		g.balance.Step(housekeepingInterval, loads)
-		g.gate.Step(housekeepingInterval, loads)
+		g.gate.Step(housekeepingInterval, g.work(loads))
 		g.board.Keep(func(k evidence.Key) bool {
 			t, ok := g.view.targets.Find(k.Name)
 			return ok && int64(t.Life) == k.Life
@@ -139,6 +140,20 @@
 	}
 }
 
+// work joins the loads of targets with what their services lose.
+func (g *Gateway) work(loads map[string]float64) map[string]admission.Load {
+	now, lost := g.now(), map[string]float64{}
+	list := make(map[string]admission.Load, len(loads))
+	for name, load := range loads {
+		t, _ := g.view.targets.Find(name)
+		if _, ok := lost[t.Service]; !ok {
+			lost[t.Service] = g.losses.share(now, t.Service)
+		}
+		list[name] = admission.Load{PerSlot: load, Lost: lost[t.Service]}
+	}
+	return list
+}
+
 // Stop ends the host's work within limit: it leaves the directory, finishes
 // what it has read and closes idle connections.
 func (g *Gateway) Stop(limit time.Duration) {
--- /dev/null
+++ b/internal/gateway/losses.go
@@ -0,0 +1,42 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/pkg/evidence"
+)
+
+// losses counts the requests of each service whose time ended at a target.
+type losses struct {
+	mu       sync.Mutex
+	services map[string]*evidence.Tally
+}
+
+func newLosses() *losses { return &losses{services: map[string]*evidence.Tally{}} }
+
+// note counts a request that a target had; lost says that its time ended there.
+func (l *losses) note(now time.Duration, service string, lost bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t, ok := l.services[service]
+	if !ok {
+		t = &evidence.Tally{}
+		l.services[service] = t
+	}
+	if lost {
+		t.Add(now, 0, 1)
+	} else {
+		t.Add(now, 1, 0)
+	}
+}
+
+// share is the part of a service's requests whose time ended at a target.
+func (l *losses) share(now time.Duration, service string) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if t, ok := l.services[service]; ok {
+		return t.Share(now)
+	}
+	return 0
+}
--- a/pkg/admission/gate.go
+++ b/pkg/admission/gate.go
@@ -7,9 +7,14 @@
 
 const (
 	// busyLoad and calmLoad are the average requests at a target, for each of its
-	// slots, above which more is refused and below which less is.
+	// slots, above which more may be refused and below which less is.
 	busyLoad = 2.8
 	calmLoad = 2.4
+	// lostShare is the part of a service's requests that may run out of time
+	// before busy targets refuse some, keptShare the part below which they refuse
+	// less: a long queue whose requests are answered in time does no harm.
+	lostShare = 0.05
+	keptShare = 0.02
 	// rise is by how much the refused part grows in a second for each unit of load
 	// beyond busyLoad, at most maxRise; fall is by how much it shrinks in a second.
 	rise    = 0.2
@@ -19,6 +24,12 @@
 	maxRefused = 0.3
 )
 
+// Load is what is known of a target's work.
+type Load struct {
+	PerSlot float64 // average requests at the target, for each of its slots
+	Lost    float64 // part of the requests of its service that run out of time
+}
+
 // Gate holds the part of the requests to each target that is refused. It is
 // safe for concurrent use.
 type Gate struct {
@@ -29,16 +40,16 @@
 // NewGate returns a gate that refuses nothing.
 func NewGate() *Gate { return &Gate{parts: map[string]float64{}} }
 
-// Step takes the loads of all targets, in requests for each slot, for a period.
-func (g *Gate) Step(period time.Duration, loads map[string]float64) {
+// Step takes the loads of all targets for a period.
+func (g *Gate) Step(period time.Duration, loads map[string]Load) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for name, load := range loads {
 		part := g.parts[name]
 		switch {
-		case load > busyLoad:
-			part = min(maxRefused, part+min(maxRise, (load-busyLoad)*rise)*period.Seconds())
-		case load < calmLoad:
+		case load.PerSlot > busyLoad && load.Lost > lostShare:
+			part = min(maxRefused, part+min(maxRise, (load.PerSlot-busyLoad)*rise)*period.Seconds())
+		case load.PerSlot < calmLoad || load.Lost < keptShare:
 			part -= fall * period.Seconds()
 		}
 		if part > 0 {
--- a/pkg/admission/gate_test.go
+++ b/pkg/admission/gate_test.go
@@ -23,7 +23,7 @@
 	g := NewGate()
 	steps := func(n int, load float64) {
 		for range n {
-			g.Step(500*time.Millisecond, map[string]float64{"t": load, "calm": 0.5})
+			g.Step(500*time.Millisecond, map[string]Load{"t": {load, 0.2}, "calm": {0.5, 0.2}})
 		}
 	}
 	steps(100, (busyLoad+calmLoad)/2)
@@ -52,6 +52,28 @@
 	}
 }
 
+// Guards against refusals by a target whose queue is long but ends in time.
+func TestWorkThatEndsInTimeIsNotRefused(t *testing.T) {
+	g := NewGate()
+	steps := func(n int, lost float64) {
+		for range n {
+			g.Step(500*time.Millisecond, map[string]Load{"t": {busyLoad + 2, lost}})
+		}
+	}
+	steps(100, lostShare)
+	if part := refused(g, "t", 0, 1); part != 0 {
+		t.Errorf("%v refused although few requests run out of time", part)
+	}
+	steps(100, 2*lostShare)
+	if part := refused(g, "t", 0, 1); part == 0 {
+		t.Error("nothing refused although many requests run out of time")
+	}
+	steps(20, 0)
+	if part := refused(g, "t", 0, 1); part != 0 {
+		t.Errorf("%v refused ten seconds after the last request ran out of time", part)
+	}
+}
+
 // Guards against urgent requests that are refused while less urgent ones are sent.
 func TestLessUrgentRequestsAreRefusedFirst(t *testing.T) {
 	cases := []struct {
--- a/pkg/evidence/tally.go
+++ b/pkg/evidence/tally.go
@@ -34,6 +34,15 @@
 	t.bad += bad
 }
 
+// Share is the part of the outcomes that are bad, 0 while there are too few to tell.
+func (t *Tally) Share(now time.Duration) float64 {
+	t.Add(now, 0, 0)
+	if n := t.good + t.bad; n >= minTally {
+		return t.bad / n
+	}
+	return 0
+}
+
 // Outliers returns the targets of one service that fail much more of their work
 // than the service as a whole. held says which were singled out before.
 func Outliers(now time.Duration, tallies map[string]*Tally, held func(name string) bool) map[string]bool {
