--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -48,40 +48,45 @@
 	return max(minConnections, int(connectionUse*float64(s.MaxConnections)/float64(hosts)))
 }
 
-// connectAndSend takes a kept connection or opens one, and sends the request.
+// connectAndSend sends the request by the relay, or to the target itself.
 func (d *delivery) connectAndSend(t *roster.Target, e *evidence.Target) attempt {
-	g := d.gateway
 	if a := d.sendByRelay(t, e); a.outcome != notTaken {
 		return a
 	}
-	d.via = "direct"
-	idempotent := d.exchange.route.Kind.Idempotent()
-	u := g.pool.Get(t.Address, idempotent)
+	d.via = viaDirect
+	u, failed := d.connect(t, e)
 	if u == nil {
-		var err error
-		limit := min(hop.DialTimeout, d.deadline-g.now())
-		if limit <= 0 {
-			return attempt{outcome: timedOut}
-		}
-		if u, err = g.pool.Dial(t.Address, limit); err != nil {
-			if countsAgainstTarget(limit, err) {
-				e.Unreachable(g.now())
-			}
-			return attempt{outcome: unreached, err: err}
+		return failed
+	}
+	return d.sendTimed(u, t, e)
+}
+
+// connect takes a kept connection to the target or opens one; the attempt says
+// why there is none.
+func (d *delivery) connect(t *roster.Target, e *evidence.Target) (*hop.Conn, attempt) {
+	g := d.gateway
+	if u := g.pool.Get(t.Address, d.exchange.route.Kind.Idempotent()); u != nil {
+		return u, attempt{}
+	}
+	limit := min(hop.DialTimeout, d.deadline-g.now())
+	if limit <= 0 {
+		return nil, attempt{outcome: timedOut}
+	}
+	u, err := g.pool.Dial(t.Address, limit)
+	if err != nil {
+		if countsAgainstTarget(limit, err) {
+			e.Unreachable(g.now())
 		}
+		return nil, attempt{outcome: unreached, err: err}
 	}
-	sent := g.now()
-	a := d.send(u, t, e)
-	d.atTarget += g.now() - sent
-	d.judge(t, a, sent)
-	return a
+	return u, attempt{}
 }
 
 // sendByRelay sends the request to the target's relay, if there is one to use.
 // The outcome notTaken says that nothing was sent.
 func (d *delivery) sendByRelay(t *roster.Target, e *evidence.Target) attempt {
 	g := d.gateway
-	if d.direct || !d.exchange.body.repeatable() {
+	if d.noRelay || !d.exchange.body.repeatable() {
 		return attempt{outcome: notTaken}
 	}
 	idempotent := d.exchange.route.Kind.Idempotent()
@@ -90,8 +95,13 @@
 		return attempt{outcome: notTaken}
 	}
 	defer g.relays.hold(u, idempotent)()
-	d.relayed, d.via = true, "relay"
-	defer func() { d.relayed = false }()
+	d.via = viaRelay
+	return d.sendTimed(u, t, e)
+}
+
+// sendTimed sends the request on a connection and tells how the target did.
+func (d *delivery) sendTimed(u *hop.Conn, t *roster.Target, e *evidence.Target) attempt {
+	g := d.gateway
 	sent := g.now()
 	a := d.send(u, t, e)
 	d.atTarget += g.now() - sent
--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -35,14 +35,22 @@
 	service  string
 	deadline time.Duration
 	tried    map[string]bool
-	via      string        // how the last attempt went: "relay" or "direct"
-	relayed  bool          // the attempt at work goes to a relay
-	direct   bool          // no relay is used any more
+	via      way           // of the last attempt
+	noRelay  bool          // a relay has failed, so none is used any more
 	atTarget time.Duration // between sendings and their results
 	runs     int           // attempts that may have run
 	unrun    int           // attempts that did not run
 }
 
+// way is how an attempt reaches its target.
+type way string
+
+// Ways.
+const (
+	viaRelay  way = "relay"
+	viaDirect way = "direct"
+)
+
 // attempt is the result of one sending.
 type attempt struct {
 	outcome outcome
@@ -93,7 +101,7 @@
 			return last.reply
 		}
 		if last.relayLost {
-			d.direct = true
+			d.noRelay = true
 			delete(d.tried, t.Name)
 		}
 		switch last.outcome {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -19,7 +19,7 @@
 	header.Del("Expect")
 	relay.Strip(header)
 	d.gateway.config.Codec.Forward(header, left, t.Name)
-	if d.relayed {
+	if d.via == viaRelay {
 		d.gateway.relays.address(header, t, x.route.Kind)
 	}
 	return &http.Request{Method: x.request.Method, URL: x.request.URL, RequestURI: x.request.RequestURI, Host: x.request.Host, Header: header}
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -37,11 +37,11 @@
 
 	mu      sync.Mutex
 	shunned map[string]time.Duration // relays that are not to be used before
-	holds   map[*hop.Conn]string     // at work with requests that may be repeated, with the relay's address
+	holds   map[*hop.Conn]bool       // at work with requests that may be repeated
 }
 
 func newRelays(w *watch, p *hop.Pool, linkRate float64) *relays {
-	r := &relays{watch: w, pool: p, shunned: map[string]time.Duration{}, holds: map[*hop.Conn]string{}}
+	r := &relays{watch: w, pool: p, shunned: map[string]time.Duration{}, holds: map[*hop.Conn]bool{}}
 	if linkRate > 0 {
 		r.rate = strconv.FormatFloat(linkRate*linkUse, 'f', 0, 64)
 	}
@@ -95,7 +95,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.holds[u] = u.Address()
+	r.holds[u] = true
 	return func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
@@ -108,8 +108,8 @@
 func (r *relays) check() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for u, address := range r.holds {
-		if r.watch.relaySilent(address) >= relayLost {
+	for u := range r.holds {
+		if r.watch.relaySilent(u.Address()) >= relayLost {
 			u.Close()
 		}
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -23,7 +23,7 @@
 	}
 	request := d.forwarded(t, left)
 	responses, ok := u.Expect(request, x.call.ID)
-	if !ok && d.relayed {
+	if !ok && d.via == viaRelay {
 		return attempt{outcome: notTaken}
 	}
 	if !ok {
@@ -63,7 +63,7 @@
 // received judges a response. complete says that the whole request was sent.
 func (d *delivery) received(u *hop.Conn, t *roster.Target, e *evidence.Target, r hop.Result, complete bool) attempt {
 	now := d.gateway.now()
-	if d.relayed {
+	if d.via == viaRelay {
 		if a, failed := d.relayFailed(u, e, &r); failed {
 			return a
 		}
