Answer a leader that the settings do not list after the loss of a disk

A host sends to the addresses of its settings (the three seeds) or of the membership. One that lost its disk holds no membership; if the leader is none of its seeds, its answers have no address. It was admitted as a learner, counted as silent, removed after 10 s and admitted again without end, so each lost disk lowered for good what the group bears.

Ruled out: size of messages (a history of 200 KB copies in a test), the disk (no error), a loop that hangs (reads were answered).

Change: replica.Group.addressOf also looks at what other hosts have told of the members; messages without an address are not handed to the transport.

Test: TestLostDiskAndALeaderThatIsNoSeed (did not end before).

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -166,6 +167,36 @@
 	}
 }
 
+// Guards against a host that lost its disk while all hosts lost power and never
+// gets back into the group, since it cannot answer a leader that is no seed
+// (kll-limits, inc-6c4c).
+func TestLostDiskAndALeaderThatIsNoSeed(t *testing.T) {
+	const wiped, seeds = 1, 3
+	c := newCluster(t, 5)
+	eventually(func() bool { return c.voters(0) == 5 })
+	c.put(0, 7)
+	leader := func() int {
+		return slices.IndexFunc(c.hosts, func(h *host) bool {
+			g := h.node.currentGroup()
+			return g != nil && g.Status().IsLeader
+		})
+	}
+	for led := false; !led; led = leader() >= seeds {
+		for _, h := range c.hosts {
+			h.stop()
+		}
+		c.hosts[wiped].folder = t.TempDir()
+		for _, h := range c.hosts {
+			h.start(t, c.seeds, false)
+		}
+		eventually(func() bool { return leader() >= 0 })
+	}
+	if v := c.read(wiped); v != 7 {
+		t.Errorf("the host that lost its disk reads version %d", v)
+	}
+	eventually(func() bool { return c.voters(wiped) == 5 })
+}
+
 // Guards against acknowledgements and reads by a host that is cut off.
 func TestMinorityAcceptsNothing(t *testing.T) {
 	c := newCluster(t, 3)
--- a/internal/replica/join.go
+++ b/internal/replica/join.go
@@ -66,6 +66,21 @@
 	return members
 }
 
+// addressOf returns where a host takes messages, "" if this host has not heard of
+// it. A host that has lost its disk knows no members yet, and its leader may be
+// one that its settings do not list.
+func (g *Group) addressOf(name string, members agree.Membership) string {
+	if addr := g.config.peerOf(name); addr != "" {
+		return addr
+	}
+	if s, ok := members.Find(name); ok && s.Peer != "" {
+		return s.Peer
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.contacts[name]
+}
+
 // askAdmission tells all known members of this incarnation; the leader acts on it.
 func (g *Group) askAdmission() {
 	for _, m := range g.others() {
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -97,10 +97,9 @@
 }
 
 func (g *Group) send(m *agree.Message) {
-	addr := g.config.peerOf(m.To.Name)
+	addr := g.addressOf(m.To.Name, g.node.Status().Members)
 	if addr == "" {
-		s, _ := g.node.Status().Members.Find(m.To.Name)
-		addr = s.Peer
+		return // learned with the next probe; the protocol repeats the message
 	}
 	// A message that cannot be sent is lost; the protocol repeats it.
 	_ = peer.Notify(g.config.Client, addr, method, wireRequest{Kind: wireMessage, Message: m})
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -101,13 +101,8 @@
 func (g *Group) notLeader() error { return &NotLeaderError{Leader: g.leader(g.node.Status())} }
 
 func (g *Group) leader(s agree.Status) Member {
-	server, ok := s.Members.Find(s.Leader.Name)
-	if !ok {
+	if s.Leader == (agree.ID{}) {
 		return Member{}
 	}
-	m := Member{Name: server.ID.Name, Peer: g.config.peerOf(server.ID.Name)}
-	if m.Peer == "" {
-		m.Peer = server.Peer
-	}
-	return m
+	return Member{Name: s.Leader.Name, Peer: g.addressOf(s.Leader.Name, s.Members)}
 }
