--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -96,13 +96,7 @@
 	if g == nil {
 		return 0
 	}
-	n := 0
-	for _, m := range g.Status().Members {
-		if m.Voter {
-			n++
-		}
-	}
-	return n
+	return voters(g.Status().Members)
 }
 
 func (c *cluster) put(i int, v policy.Version) {
--- a/internal/core/meters.go
+++ b/internal/core/meters.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/replica"
 )
 
 // Metrics returns the registry of the control host's metrics.
@@ -31,6 +33,7 @@
 		n.gauge("agreement.commit", int64(s.Commit))
 		n.gauge("agreement.applied", int64(s.Applied))
 		n.gauge("agreement.members", int64(len(s.Members)))
+		n.gauge("agreement.voters", int64(voters(s.Members)))
 		n.gauge("agreement.leads", boolValue(s.IsLeader))
 		c := g.Counts()
 		n.gauge("agreement.elections", int64(c.Elections))
@@ -52,6 +55,18 @@
 	}
 }
 
+// voters is the number of members that vote. Fewer than all of them for long means
+// that a host which lost its disk does not get back into the group.
+func voters(members []replica.MemberStatus) int {
+	n := 0
+	for _, m := range members {
+		if m.Voter {
+			n++
+		}
+	}
+	return n
+}
+
 func boolValue(b bool) int64 {
 	if b {
 		return 1
