Soak: relays before control hosts and entry hosts, five control hosts, all vote at the end

Callers, targets and operators reach hosts through relays now, which are delayed, silenced, cut one way or reset for a while; a control host loses its disk in any round, once a run; at the end every control host has to count all five as voters.

--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -73,6 +73,9 @@
 		for _, m := range w.members {
 			m.process.Kill()
 		}
+		for _, r := range w.relays {
+			r.close()
+		}
 		if t.Failed() {
 			w.keep()
 		}
@@ -98,7 +101,7 @@
 		wg.Go(func() { w.call(i) })
 	}
 	for round := range 8 {
-		w.fault(round, &wg)
+		w.fault(&wg)
 		time.Sleep(time.Duration(w.random.IntN(700)) * time.Millisecond)
 		wg.Go(func() { w.put(2+round, 5) })
 		wg.Go(func() { w.readBack(round) })
@@ -109,6 +112,9 @@
 		w.await("every control host reads", func() bool { return w.order("GET", "/v1/config", nil, i) == http.StatusOK })
 		w.readBack(i)
 	}
+	for _, m := range w.members[:cores] {
+		w.await("every control host is a voter", func() bool { return w.allVote(m) })
+	}
 	before := w.served()
 	w.await("requests are served after the faults", func() bool { return w.served() > before+20 })
 	time.Sleep(drainBound) // requests to targets that have left would arrive now
@@ -150,17 +156,18 @@
 }
 
 // fault begins one fault; some last while the next ones begin.
-func (w *world) fault(round int, wg *sync.WaitGroup) {
+func (w *world) fault(wg *sync.WaitGroup) {
 	w.disturb()
 	m := w.members[w.random.IntN(len(w.members))]
 	target := w.targets[w.random.IntN(len(w.targets))]
-	switch kind := w.random.IntN(8); kind {
+	switch kind := w.random.IntN(10); kind {
 	case 0:
 		m.process.Kill()
 		w.start(m)
-	case 1: // a control host loses its disk, one at a time
+	case 1: // a control host loses its disk, once: the next loss has to wait for its return
 		c := w.members[w.random.IntN(cores)]
-		if round == 2 {
+		if !w.diskLost {
+			w.diskLost = true
 			c.process.Kill()
 			if err := os.RemoveAll(c.data); err != nil {
 				w.t.Error(err)
@@ -183,8 +190,12 @@
 		_ = m.process.Reload()
 	case 5:
 		target.leave()
-	default:
+	case 6, 7:
 		target.relay.set(fault(1 + w.random.IntN(4)))
+	default: // callers, targets and operators reach a host badly for a while
+		r, pause := w.relays[w.random.IntN(len(w.relays))], time.Duration(300+w.random.IntN(2500))*time.Millisecond
+		r.set(fault(1 + w.random.IntN(4)))
+		wg.Go(func() { time.Sleep(pause); r.set(noFault) })
 	}
 }
 
@@ -194,6 +205,9 @@
 	for _, target := range w.targets {
 		target.relay.set(noFault)
 	}
+	for _, r := range w.relays {
+		r.set(noFault)
+	}
 	spare, err := newTarget(w, fmt.Sprintf("t%d-spare", w.seed), "z0")
 	if err != nil {
 		w.t.Fatal(err)
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -18,8 +18,9 @@
 )
 
 const (
-	cores, gateways = 3, 4
-	heartbeat       = 300 * time.Millisecond
+	// cores are more than seeds, so that a leader may be none of them.
+	cores, seeds, gateways = 5, 3, 4
+	heartbeat              = 300 * time.Millisecond
 	// drainBound is the time after the acknowledgement of a departure, and without
 	// faults, from which no request may reach the target.
 	drainBound = 2500 * time.Millisecond
@@ -30,8 +31,8 @@
 
 // member is one process of the deployment.
 type member struct {
-	name, bin, data, settings string
-	process                   *proc.Process
+	name, bin, data, settings, ip string
+	process                       *proc.Process
 }
 
 // world is one deployment with its callers, targets and faults.
@@ -41,11 +42,14 @@
 	folder  string
 	random  *rand.Rand
 	members []*member
-	fronts  []string
-	control []string
+	fronts  []string // addresses of relays before the entry hosts
+	control []string // addresses of relays before the control hosts
+	relays  []*relay // all of them, but for those of targets
 	ledger  *ledger
 	client  *http.Client
 
+	diskLost bool // a control host has lost its disk
+
 	mu       sync.Mutex
 	ended    bool
 	targets  []*target
@@ -91,10 +95,12 @@
 	w := &world{t: t, seed: seed, folder: t.TempDir(), random: rand.New(rand.NewPCG(seed, 7)),
 		ledger: &ledger{runs: map[string]*record{}}, client: &http.Client{Timeout: 2 * time.Second}}
 	ip := func(i int) string { return fmt.Sprintf("127.80.%d.%d", seed%250+1, i+1) }
-	var seeds []string
+	var seedList []string
 	for i := range cores {
-		w.control = append(w.control, ip(i)+":8101")
-		seeds = append(seeds, fmt.Sprintf("%q", ip(i)+":8101"))
+		w.control = append(w.control, w.before(ip(i)+":8101"))
+		if i < seeds {
+			seedList = append(seedList, fmt.Sprintf("%q", ip(i)+":8101"))
+		}
 	}
 	for i := range cores + gateways {
 		m := &member{name: fmt.Sprintf("core-%d", i), bin: "hornbeam-core"}
@@ -102,10 +108,11 @@
 		if i >= cores {
 			m.name, m.bin = fmt.Sprintf("gateway-%d", i-cores), "hornbeam-gateway"
 			listen = fmt.Sprintf("Front = %q\nReady = %q", ip(i)+":8103", ip(i)+":8104")
-			w.fronts = append(w.fronts, ip(i)+":8103")
+			w.fronts = append(w.fronts, w.before(ip(i)+":8103"))
 		}
 		m.data, m.settings = filepath.Join(w.folder, m.name+"-data"), filepath.Join(w.folder, m.name+".toml")
-		w.configure(m, ip(i), i, seeds, listen)
+		m.ip = ip(i)
+		w.configure(m, i, seedList, listen)
 		w.members = append(w.members, m)
 	}
 	for _, m := range w.members {
@@ -114,6 +121,27 @@
 	return w
 }
 
+// before starts a relay before an address and returns its own.
+func (w *world) before(address string) string {
+	r, err := newRelay(address, w.random.Uint64())
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.relays = append(w.relays, r)
+	return r.address()
+}
+
+// allVote reports whether a control host counts all of them as voters.
+func (w *world) allVote(m *member) bool {
+	r, err := w.client.Get(fmt.Sprintf("http://%s:%d/metrics", m.ip, platform.MetricsPort))
+	if err != nil {
+		return false
+	}
+	defer r.Body.Close()
+	text, err := io.ReadAll(r.Body)
+	return err == nil && strings.Contains(string(text), fmt.Sprintf("\nagreement.voters %d\n", cores))
+}
+
 // founded tells later starts that the deployment exists. Doing so before the
 // first order is acknowledged would reach a process that is slow to start.
 func (w *world) founded() {
@@ -128,10 +156,10 @@
 	}
 }
 
-func (w *world) configure(m *member, ip string, i int, seeds []string, listen string) {
+func (w *world) configure(m *member, i int, seedList []string, listen string) {
 	text := fmt.Sprintf("NodeName = %q\nIp = %q\nZone = \"z%d\"\nRegion = \"r%d\"\nInternalPortRange = [8110, 8115]\nSeeds = [%s]\nBootstrap = true\nDataDir = %q\nHeartbeatS = %v\n"+
 		"Bounds = [\"GraceS=%v\", \"RetryBudgetRatio=0.2\", \"RetryBudgetSlack=100\", \"BudgetWindowS=10\"]\n[Zones]\nz0 = \"r0\"\nz1 = \"r1\"\nz2 = \"r0\"\n[Listen]\n%s\n[Limits]\nMemoryMb = 200\n",
-		m.name, ip, i%3, i%2, strings.Join(seeds, ", "), m.data, heartbeat.Seconds(), grace.Seconds(), listen)
+		m.name, m.ip, i%3, i%2, strings.Join(seedList, ", "), m.data, heartbeat.Seconds(), grace.Seconds(), listen)
 	if err := os.WriteFile(m.settings, []byte(text), 0o600); err != nil {
 		w.t.Fatal(err)
 	}
