Say what was not sent as not run, and spare requests the wait for silent hosts

A relay whose connection attempt was cut short by the request's end (274 times) said 'timed out', which counts as sent; an entry host without time left to send said the same. 494 further attempts waited 400 ms each for hosts that were cut off, and 128 requests were sent on kept connections to them.

Ruled out: requests on kept connections that were cut off, whose outcome is unknown and stays so.

Change: a relay says 'busy' for a request that it has no time to send, 30 ms before the end so that the news still counts; an entry host says 'unreached'. After two time-outs in a row a relay answers 'unreached' for half a second, and a connection that ends unacknowledged takes the idle ones to its host with it.

Tests: TestSilentTarget, TestSilences, TestPoolForgetsAnAddress, TestTimeOverBeforeSending.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -27,6 +27,9 @@
 	return a
 }
 
+// errNoTimeLeft says that the time of the request was over before it was sent.
+var errNoTimeLeft = errors.New("no time is left to send the request")
+
 // errTargetCrowded says that this host's part of a target's connections is in use.
 var errTargetCrowded = errors.New("this host's connections to the target are all in use")
 
@@ -70,7 +73,7 @@
 	}
 	limit := min(hop.DialTimeout, d.deadline-g.now())
 	if limit <= 0 {
-		return nil, attempt{outcome: timedOut}
+		return nil, attempt{outcome: unreached, err: errNoTimeLeft}
 	}
 	u, err := g.pool.Dial(t.Address, limit)
 	if err != nil {
@@ -121,7 +124,7 @@
 // before it counts as failed work of its target. Cold work stays below.
 const slowFactor = 2
 
-// judge tells the control hosts how the target did.
+// judge counts how the target did, for this host and for the control hosts.
 func (d *delivery) judge(t *roster.Target, a attempt, sent time.Duration) {
 	g := d.gateway
 	took := g.now() - sent
--- a/internal/gateway/delivery_test.go
+++ b/internal/gateway/delivery_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -13,6 +14,7 @@
 
 	"github.com/hornbeamstack/hornbeamstack/internal/hop"
 	"github.com/hornbeamstack/hornbeamstack/pkg/admission"
+	"github.com/hornbeamstack/hornbeamstack/pkg/evidence"
 	"github.com/hornbeamstack/hornbeamstack/pkg/policy"
 	"github.com/hornbeamstack/hornbeamstack/pkg/roster"
 )
@@ -265,6 +267,24 @@
 	}
 }
 
+// Guards against callers who are told that the outcome is unknown although the
+// time of their request was over before it was sent.
+func TestTimeOverBeforeSending(t *testing.T) {
+	f := newFixture(t, ok)
+	g := f.gateway
+	p := g.view.current()
+	x := &exchange{policy: p, route: &p.Routes[1], body: &requestBody{}, ctx: context.Background()}
+	d := &delivery{gateway: g, service: "s", tried: map[string]bool{}, exchange: x, deadline: g.now() - 1}
+	target, _ := g.view.targets.Find("t0")
+	last := d.attempt(&target, g.board.Of(evidence.Key{Name: "t0", Life: 1}))
+	if last.outcome != unreached || len(f.targets[0].ids()) != 0 {
+		t.Errorf("outcome %s", last.outcome)
+	}
+	if r := d.giveUp(last); r.status != http.StatusServiceUnavailable {
+		t.Errorf("status %d", r.status)
+	}
+}
+
 // Guards against targets that count as down because a request had no time left
 // to connect.
 func TestShortDialIsNoEvidence(t *testing.T) {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -19,7 +19,7 @@
 	left := d.deadline - g.now()
 	if left <= 0 {
 		u.Abort()
-		return attempt{outcome: timedOut}
+		return attempt{outcome: unreached, err: errNoTimeLeft}
 	}
 	request := d.forwarded(t, left)
 	responses, ok := u.Expect(request, x.call.ID)
--- a/internal/hop/pool.go
+++ b/internal/hop/pool.go
@@ -95,6 +95,17 @@
 	p.count++
 }
 
+// Forget closes all idle connections to an address.
+func (p *Pool) Forget(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, u := range p.idle[address] {
+		go u.Close()
+	}
+	p.count -= len(p.idle[address])
+	delete(p.idle, address)
+}
+
 // Size is the number of idle connections.
 func (p *Pool) Size() int {
 	p.mu.Lock()
--- a/internal/hop/pool_test.go
+++ b/internal/hop/pool_test.go
@@ -91,3 +91,18 @@
 		t.Errorf("%d connections are counted, none is kept", p.Size())
 	}
 }
+
+// Guards against requests that are lost on other kept connections to a host that
+// has gone silent, and against a count that drifts.
+func TestPoolForgetsAnAddress(t *testing.T) {
+	p := NewPool(plainCodec{}, func() time.Duration { return 0 }, 10)
+	gone, other := listen(t), listen(t)
+	kept := []*Conn{use(t, p, gone), use(t, p, gone), use(t, p, other)}
+	for _, u := range kept {
+		p.Put(u)
+	}
+	p.Forget(gone)
+	if p.Size() != 1 || p.Get(gone, true) != nil || p.Get(other, true) != kept[2] || p.Size() != 0 {
+		t.Errorf("%d connections are kept", p.Size())
+	}
+}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -3,8 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"errors"
+	"net"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/hornbeamstack/hornbeamstack/internal/hop"
@@ -76,19 +79,45 @@
 	return x.session.writer.Flush() == nil
 }
 
-// connect takes a kept connection to the target or opens one.
+// reportMargin is the time that is left for the news that nothing was sent: later
+// ones find the entry host without knowledge of it.
+const reportMargin = 30 * time.Millisecond
+
+// errSilent says that other requests have just failed to reach the target's host.
+var errSilent = errors.New("the target's host is silent")
+
+// connect takes a kept connection to the target or opens one. The outcome says
+// why there is none; nothing was sent then.
 func (x *exchange) connect() (*hop.Conn, Outcome, error) {
-	pool := x.session.server.pool
-	if u := pool.Get(x.address, x.repeatable); u != nil {
+	s := x.session.server
+	if s.silences.holds(s.now(), x.address) {
+		return nil, Unreached, errSilent
+	}
+	if u := s.pool.Get(x.address, x.repeatable); u != nil {
+		return u, "", nil
+	}
+	limit := min(hop.DialTimeout, x.left()-reportMargin)
+	if limit <= 0 {
+		return nil, Busy, context.DeadlineExceeded
+	}
+	s.count("relay.dials")
+	u, err := s.pool.Dial(x.address, limit)
+	if err == nil {
+		s.silences.answered(x.address)
 		return u, "", nil
 	}
-	x.session.server.count("relay.dials")
-	limit := min(hop.DialTimeout, x.left())
-	u, err := pool.Dial(x.address, limit)
-	if err != nil && limit < hop.DialTimeout {
-		return nil, TimedOut, err // cut short by the request's own end
+	if limit < hop.DialTimeout {
+		return nil, Busy, err // cut short by the request's own end, which says nothing of the target
+	}
+	if isTimeout(err) {
+		s.silences.failed(s.now(), x.address)
 	}
-	return u, Unreached, err
+	return nil, Unreached, err
+}
+
+func isTimeout(err error) bool {
+	var network net.Error
+	return errors.As(err, &network) && network.Timeout()
 }
 
 // send writes the request and waits for the head of the answer.
@@ -111,6 +140,13 @@
 	x.complete = err == nil
 	select {
 	case r := <-responses:
+		if errors.Is(r.Err, syscall.ETIMEDOUT) {
+			// The host has not acknowledged the request. Other kept connections to
+			// it would lose what is sent on them, too.
+			s := x.session.server
+			s.silences.failed(s.now(), x.address)
+			s.pool.Forget(x.address)
+		}
 		return r, outcomeOf(ctx)
 	case <-ctx.Done():
 		return hop.Result{Err: ctx.Err()}, TimedOut
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sys/unix"
 
 	"github.com/hornbeamstack/hornbeamstack/internal/hop"
 )
@@ -233,6 +234,81 @@
 	}
 }
 
+// silentAddress returns an address whose host answers no connection: the queue of
+// its listener is full.
+func silentAddress(t *testing.T) string {
+	t.Helper()
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = unix.Close(fd) })
+	if err := unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := unix.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	name, err := unix.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := fmt.Sprintf("127.0.0.1:%d", name.(*unix.SockaddrInet4).Port)
+	for {
+		conn, err := net.DialTimeout("tcp", address, 100*time.Millisecond)
+		if err != nil {
+			return address
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+	}
+}
+
+// Guards against a request that counts as run although it was never sent, and
+// against requests that each wait for a host which others have found silent.
+func TestSilentTarget(t *testing.T) {
+	s, address := startRelay(t)
+	silent := silentAddress(t)
+	e := dialRelay(t, address)
+	ask := func(id string, left time.Duration, want Outcome) {
+		t.Helper()
+		e.send(id, "t", silent, "", left)
+		if r, _ := e.read(); Outcome(r.Header.Get(HeaderOutcome)) != want {
+			t.Errorf("request %s: outcome %q, want %q", id, r.Header.Get(HeaderOutcome), want)
+		}
+	}
+	dials := func() int64 { return metrics.GetOrRegisterCounter("relay.dials", s.config.Metrics).Count() }
+	ask("short", 100*time.Millisecond, Busy) // says nothing of the target
+	for i := range silentDials {
+		ask(fmt.Sprint("dial ", i), time.Minute, Unreached)
+	}
+	before := dials()
+	ask("spared", time.Minute, Unreached)
+	if dials() != before {
+		t.Error("a request waited for a host that is known to be silent")
+	}
+}
+
+// Guards against hosts that stay avoided, and against one lost packet that keeps
+// all requests away.
+func TestSilences(t *testing.T) {
+	s := newSilences()
+	s.failed(0, "a")
+	if s.holds(0, "a") {
+		t.Error("one attempt that timed out keeps others away")
+	}
+	s.failed(0, "a")
+	if !s.holds(silentPause-1, "a") || s.holds(silentPause, "a") || s.holds(0, "b") {
+		t.Error("the pause has a wrong length or address")
+	}
+	s.answered("a")
+	if s.failed(0, "a"); s.holds(0, "a") {
+		t.Error("attempts before an answer count")
+	}
+	if s.forget(time.Hour); len(s.addresses) != 0 {
+		t.Error("an address is remembered for good")
+	}
+}
+
 // Guards against a lost answer that is reported where the time of the request
 // ended first, which closes the connection: an entry host repeats the one and
 // counts it against the target.
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -23,11 +23,12 @@
 
 // Server is a relay.
 type Server struct {
-	config  Config
-	start   time.Time
-	pool    *hop.Pool
-	pacers  *pacers
-	sampler *telemetry.Sampler
+	config   Config
+	start    time.Time
+	pool     *hop.Pool
+	pacers   *pacers
+	silences *silences
+	sampler  *telemetry.Sampler
 
 	stopping atomic.Bool
 	working  atomic.Int64
@@ -35,7 +36,7 @@
 
 // New returns a relay; Serve starts it.
 func New(c Config) *Server {
-	s := &Server{config: c, start: time.Now(), pacers: newPacers(), sampler: telemetry.NewSampler()}
+	s := &Server{config: c, start: time.Now(), pacers: newPacers(), silences: newSilences(), sampler: telemetry.NewSampler()}
 	s.pool = hop.NewPool(c.Codec, s.now, c.MostIdle)
 	return s
 }
@@ -83,8 +84,9 @@
 
 func (s *Server) count(name string) { metrics.GetOrRegisterCounter(name, s.config.Metrics).Inc(1) }
 
-// Observe updates the gauges.
+// Observe updates the gauges and drops what is no longer of use.
 func (s *Server) Observe() {
+	s.silences.forget(s.now())
 	metrics.GetOrRegisterGauge("relay.working", s.config.Metrics).Update(s.working.Load())
 	metrics.GetOrRegisterGauge("relay.idle_connections", s.config.Metrics).Update(int64(s.pool.Size()))
 }
