--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -304,6 +304,11 @@
 	if s.failed(0, "a"); s.holds(0, "a") {
 		t.Error("attempts before an answer count")
 	}
+	s.answered("a")
+	s.failed(0, "a")
+	if s.failed(silentMemory+1, "a"); s.holds(silentMemory+1, "a") {
+		t.Error("two attempts far apart keep others away")
+	}
 	if s.forget(time.Hour); len(s.addresses) != 0 {
 		t.Error("an address is remembered for good")
 	}
--- a/internal/relay/silences.go
+++ b/internal/relay/silences.go
@@ -6,17 +6,19 @@
 )
 
 const (
-	// silentDials is the number of attempts in a row to reach a target's host that
-	// must time out before others are spared theirs. A single one may be a lost packet.
-	silentDials = 2
+	// silentDials is the number of attempts to reach a target's host, within
+	// silentMemory, that must time out before others are spared theirs. A single
+	// one may be a lost packet.
+	silentDials  = 2
+	silentMemory = 2 * time.Second
 	// silentPause is how long nobody tries to reach a silent host.
 	silentPause = 500 * time.Millisecond
 )
 
 // silence is what is known of a host that does not answer.
 type silence struct {
-	failed int           // attempts in a row that timed out
-	until  time.Duration // end of the pause
+	failed int           // attempts that timed out, each soon after the one before
+	last   time.Duration // when the newest of them did
 }
 
 // silences holds the addresses of targets whose hosts answer nothing, so that
@@ -32,7 +34,11 @@
 func (s *silences) failed(now time.Duration, address string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.addresses[address] = silence{failed: s.addresses[address].failed + 1, until: now + silentPause}
+	a := s.addresses[address]
+	if now-a.last > silentMemory {
+		a.failed = 0
+	}
+	s.addresses[address] = silence{failed: a.failed + 1, last: now}
 }
 
 // answered notes that an address was reached.
@@ -47,15 +53,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	a := s.addresses[address]
-	return a.failed >= silentDials && now < a.until
+	return a.failed >= silentDials && now-a.last < silentPause
 }
 
-// forget drops the addresses whose pause ended long ago.
+// forget drops the addresses that have not failed for long.
 func (s *silences) forget(now time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for address, a := range s.addresses {
-		if now > a.until+pacerForget {
+		if now-a.last > silentMemory {
 			delete(s.addresses, address)
 		}
 	}
