--- a/internal/zone/beat.go
+++ b/internal/zone/beat.go
@@ -13,7 +13,7 @@
 
 // coordinatorHint returns the most likely coordinator of the own zone, or "".
 func (z *Zone) coordinatorHint() string {
-	if z.office.Load() != nil {
+	if z.held.Load() != nil {
 		return z.cfg.Host
 	}
 	now := z.cfg.Now()
--- a/internal/zone/office.go
+++ b/internal/zone/held_lease.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// office is the lease as this host holds it. It is replaced, never changed, so
+// heldLease is the lease as this host holds it. It is replaced, never changed, so
 // that requests read it without the lock of the election.
-type office struct {
+type heldLease struct {
 	coordinator *coordinator
 	until       time.Time // end of the lease
 }
@@ -12,9 +12,9 @@
 // lease returns the coordinator and the end of its lease, or nil if this host
 // does not hold the lease now.
 func (z *Zone) lease() (*coordinator, time.Time) {
-	o := z.office.Load()
-	if o == nil || !z.cfg.Now().Before(o.until) {
+	l := z.held.Load()
+	if l == nil || !z.cfg.Now().Before(l.until) {
 		return nil, time.Time{}
 	}
-	return o.coordinator, o.until
+	return l.coordinator, l.until
 }
--- a/internal/zone/lease.go
+++ b/internal/zone/lease.go
@@ -40,12 +40,12 @@
 // switchCoordinator follows the lease. The caller holds leaseMu.
 func (z *Zone) switchCoordinator(now time.Time) {
 	var current *coordinator
-	if o := z.office.Load(); o != nil {
-		current = o.coordinator
+	if held := z.held.Load(); held != nil {
+		current = held.coordinator
 	}
 	holds := z.candidate.Holds(now)
 	if current != nil && (!holds || current.term != z.candidate.Term()) {
-		z.office.Store(nil)
+		z.held.Store(nil)
 		current.end()
 		z.cfg.Log.Info("coordination ended", "zone", z.cfg.AvailabilityZone, "term", current.term)
 		current = nil
@@ -58,7 +58,7 @@
 		current = newCoordinator(now, z.candidate.Term(), l.policy(z.cfg.AvailabilityZone), l.holders(now))
 		z.cfg.Log.Info("coordination started", "zone", z.cfg.AvailabilityZone, "term", current.term)
 	}
-	z.office.Store(&office{coordinator: current, until: z.candidate.Until()})
+	z.held.Store(&heldLease{coordinator: current, until: z.candidate.Until()})
 }
 
 // broadcast sends a request to every voter of the zone and counts the replies.
--- a/internal/zone/zone.go
+++ b/internal/zone/zone.go
@@ -22,7 +22,7 @@
 	voter     *zonelease.Voter
 	candidate *zonelease.Candidate
 
-	office atomic.Pointer[office] // nil while another host coordinates
+	held atomic.Pointer[heldLease] // nil while another host coordinates
 
 	holder    *holder
 	directory *directory
