--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -117,7 +117,7 @@
 // countsAgainstTarget reports whether a dial that failed says something about
 // the target. One that was cut short by the request's own end does not.
 func countsAgainstTarget(limit time.Duration, err error) bool {
-	return limit == hop.DialTimeout || !isTimeout(err)
+	return limit == hop.DialTimeout || !hop.IsTimeout(err)
 }
 
 // slowFactor is how many times the objective of its route a request may take
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/hop"
 )
 
 const (
@@ -143,8 +145,7 @@
 // left ends all work if the caller has gone. A connection that is merely idle,
 // or that this side has closed, goes on to deliver what is at work.
 func (c *caller) left(err error) {
-	var network net.Error
-	if errors.As(err, &network) && network.Timeout() {
+	if hop.IsTimeout(err) {
 		c.mu.Lock()
 		c.closing = true
 		c.mu.Unlock()
@@ -160,7 +161,7 @@
 		_ = c.conn.SetReadDeadline(time.Now().Add(idle))
 		if _, err := c.reader.Peek(1); err == nil {
 			break
-		} else if !isTimeout(err) || !c.busy() {
+		} else if !hop.IsTimeout(err) || !c.busy() {
 			return nil, err
 		}
 		// The connection is not idle while an answer is due.
@@ -173,11 +174,6 @@
 	return request, err
 }
 
-func isTimeout(err error) bool {
-	var network net.Error
-	return errors.As(err, &network) && network.Timeout()
-}
-
 func (c *caller) busy() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -68,7 +68,7 @@
 // unreached notes that no connection to the relay could be opened. A time-out
 // may come from the own link, so only a refusal keeps other requests away.
 func (r *relays) unreached(now time.Duration, address string, err error) {
-	if isTimeout(err) {
+	if hop.IsTimeout(err) {
 		return
 	}
 	r.watch.config.Log.Warn("relay given up", "relay", address, "during", relayShun, "err", err)
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"strconv"
 	"syscall"
@@ -109,17 +108,12 @@
 	if limit < hop.DialTimeout {
 		return nil, Busy, err // cut short by the request's own end, which says nothing of the target
 	}
-	if isTimeout(err) {
+	if hop.IsTimeout(err) {
 		s.silences.failed(s.now(), x.address)
 	}
 	return nil, Unreached, err
 }
 
-func isTimeout(err error) bool {
-	var network net.Error
-	return errors.As(err, &network) && network.Timeout()
-}
-
 // send writes the request and waits for the head of the answer.
 func (x *exchange) send(ctx context.Context, u *hop.Conn) (hop.Result, Outcome) {
 	forwarded := &http.Request{Method: x.request.Method, URL: x.request.URL, RequestURI: x.request.RequestURI,
