--- /dev/null
+++ b/internal/gateway/contact.go
@@ -0,0 +1,57 @@
+package gateway
+
+import "time"
+
+// contactLimit is the silence of control hosts that is logged. Pulls are
+// answered several times within it.
+const contactLimit = time.Second
+
+// contactLog tells when an entry host hears no control host in contact with a
+// majority. Its owner serializes the calls.
+type contactLog struct {
+	lost  bool
+	since time.Duration // last reply before the loss
+}
+
+// check compares the last reply with the time. It reports whether the contact
+// was lost or regained since the last call, and how long it was silent.
+func (c *contactLog) check(now, last time.Duration) (changed bool, silent time.Duration) {
+	lost := now-last > contactLimit
+	if lost == c.lost {
+		return false, 0
+	}
+	c.lost = lost
+	if lost {
+		c.since = last
+		return true, now - last
+	}
+	return true, last - c.since
+}
+
+// checkContact logs a loss of contact with the control hosts, and its end.
+func (w *watch) checkContact() {
+	version, _ := w.view.versions()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.fresh == 0 {
+		return // not in contact yet since the start
+	}
+	now := w.now()
+	changed, silent := w.contact.check(now, w.fresh)
+	if !changed {
+		return
+	}
+	aside := 0
+	for _, c := range w.controls {
+		if c.shunned > now {
+			aside++
+		}
+	}
+	pairs := []any{"silent", silent, "version", version, "controls", len(w.controls), "set_aside", aside}
+	if w.contact.lost {
+		w.meters.count("control.contact_lost")
+		w.config.Log.Warn("contact with control hosts lost", pairs...)
+		return
+	}
+	w.config.Log.Info("contact with control hosts regained", pairs...)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -129,6 +129,7 @@
 		case <-ticker.C:
 		}
 		g.observe()
+		g.watch.checkContact()
 		g.relays.check()
 		loads := g.reports.averages(func(name string) bool { _, ok := g.view.targets.Find(name); return ok })
 		g.balance.Step(housekeepingInterval, loads)
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -52,6 +52,7 @@
 	controls map[string]*controlState
 	digest   uint64
 	fresh    time.Duration // last reply of a control host in contact with a majority
+	contact  contactLog
 }
 
 func newWatch(c *Config, v *view, now func() time.Duration, self func() fleet.Entry, r *reports, m *meters) *watch {
@@ -187,7 +188,7 @@
 	c.shunned = w.now() + during
 	address := c.control.Peer
 	w.mu.Unlock()
-	w.config.Log.Warn("control host given up", "control", address, "reason", reason, "err", err)
+	w.config.Log.Warn("control host given up", "control", address, "during", during, "reason", reason, "err", err)
 }
 
 // learn puts the reply of a control host into the view.
