--- /dev/null
+++ b/internal/gateway/watch_loss_test.go
@@ -0,0 +1,203 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/desired"
+	"github.com/hornbeamstack/hornbeamstack/internal/fleet"
+	"github.com/hornbeamstack/hornbeamstack/internal/peer"
+	"github.com/hornbeamstack/hornbeamstack/pkg/finding"
+	"github.com/hornbeamstack/hornbeamstack/pkg/policy"
+)
+
+// powerLine stands before a control host. After fail the connections that were
+// open belong to a host that has lost power and is back: what is sent on them
+// resets them, and nothing tells before. New connections work.
+type powerLine struct {
+	address string
+	target  string
+	mu      sync.Mutex
+	open    []*poweredConn
+}
+
+type poweredConn struct {
+	client *net.TCPConn
+	host   net.Conn
+	mu     sync.Mutex
+	lost   bool
+}
+
+func newPowerLine(t *testing.T, target string) *powerLine {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &powerLine{address: l.Addr().String(), target: target}
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			wg.Go(func() { p.carry(t, conn.(*net.TCPConn)) })
+		}
+	})
+	t.Cleanup(func() {
+		_ = l.Close()
+		p.mu.Lock()
+		for _, c := range p.open {
+			_, _ = c.client.Close(), c.host.Close()
+		}
+		p.mu.Unlock()
+		wg.Wait()
+	})
+	return p
+}
+
+func (p *powerLine) carry(t *testing.T, client *net.TCPConn) {
+	host, err := net.Dial("tcp", p.target)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	c := &poweredConn{client: client, host: host}
+	p.mu.Lock()
+	p.open = append(p.open, c)
+	p.mu.Unlock()
+	var wg sync.WaitGroup
+	wg.Go(func() { c.copy(client, host) })
+	c.copy(host, client)
+	wg.Wait()
+}
+
+// copy carries bytes until the connection is lost or closed.
+func (c *poweredConn) copy(to, from net.Conn) {
+	buf := make([]byte, 4<<10)
+	for {
+		n, err := from.Read(buf)
+		if c.isLost() && from == c.host {
+			return
+		}
+		if err != nil || c.isLost() {
+			_ = c.client.SetLinger(0) // a reset
+			_, _ = c.client.Close(), c.host.Close()
+			return
+		}
+		if _, err := to.Write(buf[:n]); err != nil {
+			return
+		}
+	}
+}
+
+func (c *poweredConn) isLost() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lost
+}
+
+func (p *powerLine) fail() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.open {
+		c.mu.Lock()
+		c.lost = true
+		c.mu.Unlock()
+		_ = c.host.Close()
+	}
+}
+
+// newTestWatch returns the watch of an entry host with a clock of the test.
+func newTestWatch(t *testing.T, now *time.Duration, seeds ...string) *watch {
+	t.Helper()
+	client := peer.NewClient("g")
+	t.Cleanup(client.Close)
+	g := New(Config{Name: "g", Zone: "z", Region: "r", Seeds: seeds, RetryWindow: time.Second,
+		Client: client, Log: log.New(io.Discard), Codec: fakeCodec{},
+		Decode: func(body []byte) (*policy.Policy, finding.List) {
+			return &policy.Policy{Version: policy.Version(body[0])}, nil
+		}})
+	g.watch.now = func() time.Duration { return *now }
+	return g.watch
+}
+
+// Guards against an entry host that leaves all control hosts alone after they
+// lost power together: the first message to each resets its old connection, and
+// that says nothing about the host behind it.
+func TestPolicyArrivesAfterAllControlHostsLostPower(t *testing.T) {
+	var version policy.Version = 1
+	var mu sync.Mutex
+	reply := func(fleet.PullRequest) fleet.PullReply {
+		mu.Lock()
+		defer mu.Unlock()
+		return fleet.PullReply{Fresh: true, Document: &desired.Document{Version: version, Body: []byte{byte(version)}}}
+	}
+	var lines []*powerLine
+	var seeds []string
+	for range 3 {
+		line := newPowerLine(t, newFakeControl(t, reply).address)
+		lines, seeds = append(lines, line), append(seeds, line.address)
+	}
+	now := time.Second // stands still: what is set aside stays so
+	w := newTestWatch(t, &now, seeds...)
+	ctx := context.Background()
+	// The host has pulled from each of them before, one after the other.
+	for _, c := range w.controls {
+		c.watched = true
+		if !w.pull(ctx, c) {
+			t.Fatal("a control host that works does not answer")
+		}
+		w.release(c)
+	}
+	for _, line := range lines {
+		line.fail()
+	}
+	mu.Lock()
+	version = 2
+	mu.Unlock()
+	for asked := 0; ; asked++ {
+		if got, _ := w.view.versions(); got == 2 {
+			return
+		}
+		c := w.take()
+		if c == nil {
+			t.Fatalf("no control host is asked any more after %d lost connections", asked)
+		}
+		w.pull(ctx, c)
+		w.release(c)
+	}
+}
+
+// Guards against an entry host that asks no control host at all while all have
+// failed lately, and against one that asks them without a pause.
+func TestControlHostsThatAllFailedAreAskedAgain(t *testing.T) {
+	now := time.Second
+	w := newTestWatch(t, &now, "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3")
+	for _, c := range w.controls {
+		w.shun(c, silentShun, "unreachable", nil)
+		now += 100 * time.Millisecond
+	}
+	if c := w.take(); c != nil {
+		t.Fatalf("%s is asked again at once", c.control.Peer)
+	}
+	now += activeShun
+	asked := map[string]bool{}
+	for range len(w.controls) {
+		c := w.take()
+		if c == nil {
+			t.Fatalf("after %s only %d of %d control hosts are asked", now, len(asked), len(w.controls))
+		}
+		asked[c.control.Peer] = true
+	}
+	if len(asked) != len(w.controls) {
+		t.Errorf("asked %v, want each control host once", asked)
+	}
+}
