Ask control hosts again that all failed lately

What callers saw: routes added by a confirmed policy were answered with 404 by entry hosts for up to 2 s after the policy had to be in force, and drained targets and evacuations would have come as late.

Cause: an entry host sets a control host aside for 3 s after a failure, and did so also when that left it nobody to ask. After a common loss of power all control hosts fail once, four of six within 0.1 s, so for about 3 s it asked none, however long they had been back.

Change: being set aside is a preference. If no other control host is left, the one that failed longest ago is asked, not sooner than 0.4 s after it failed.

--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -21,8 +21,9 @@
 	// pullTimeout bounds a pull; the control host is given up then. A slow link
 	// delays answers by more than a second.
 	pullTimeout = 2 * time.Second
-	// silentShun is how long a control host that did not answer is not watched,
+	// silentShun is how long a control host that did not answer is set aside,
 	// activeShun one that answered that it cannot help, or refused the connection.
+	// No control host is asked again sooner than activeShun after it failed.
 	silentShun = 3 * time.Second
 	activeShun = 400 * time.Millisecond
 	idlePause  = 100 * time.Millisecond
@@ -36,7 +37,8 @@
 	watched  bool
 	states   uint64        // number of the target states held
 	answered time.Duration // last reply in contact with a majority, 0 if there was none
-	shunned  time.Duration // not to be used before
+	shunned  time.Duration // set aside until then, while another can be asked
+	failed   time.Duration // last failure, 0 if there was none
 }
 
 // watch keeps the view up to date from some control hosts.
@@ -95,15 +97,35 @@
 	}
 }
 
-// take picks the nearest control host that is neither watched nor shunned.
+// take picks the nearest control host that is neither watched nor set aside. If
+// there is none, it picks the one that failed longest ago: after a common outage
+// all have failed, which says nothing of how they are by now.
 func (w *watch) take() *controlState {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	best := w.best(func(c *controlState) bool { return !c.watched && c.shunned <= w.now() })
-	if best != nil {
-		best.watched = true
+	c := w.best(func(c *controlState) bool { return !c.watched && c.shunned <= w.now() })
+	if c == nil {
+		c = w.longestAside()
 	}
-	return best
+	if c != nil {
+		c.watched = true
+	}
+	return c
+}
+
+// longestAside returns the control host that failed longest ago, nil if all have
+// failed just now or are watched.
+func (w *watch) longestAside() *controlState {
+	var first *controlState
+	for _, c := range w.controls {
+		if c.watched || w.now()-c.failed < activeShun {
+			continue
+		}
+		if first == nil || c.failed < first.failed {
+			first = c
+		}
+	}
+	return first
 }
 
 func (w *watch) best(fits func(*controlState) bool) *controlState {
@@ -185,7 +207,8 @@
 
 func (w *watch) shun(c *controlState, during time.Duration, reason string, err error) {
 	w.mu.Lock()
-	c.shunned = w.now() + during
+	c.failed = w.now()
+	c.shunned = c.failed + during
 	address := c.control.Peer
 	w.mu.Unlock()
 	w.config.Log.Warn("control host given up", "control", address, "during", during, "reason", reason, "err", err)
