Keep a connection to a control host only while it is watched

Cause: an entry host kept a connection open to every control host that it had ever pulled from. When the hosts behind them lose power, nothing tells it; the first message after their return resets each connection, which counted as a failure of the host, so hosts that were back were set aside.

Ruled out: late elections.

Change: peer.Client.Drop ends a connection; the watch calls it when it leaves a control host, so each watch begins on a new connection.

--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -169,11 +169,15 @@
 	return best != nil && w.distance(best) < w.distance(c)
 }
 
+// release ends the watch of a control host and its connection: one that is kept
+// without use may have died with the host, and its reset would count against the
+// host that is back.
 func (w *watch) release(c *controlState) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	c.watched = false
 	w.reports.leave(c.control.Peer)
+	w.config.Client.Drop(c.control.Peer)
 }
 
 // pull asks a control host for news. It reports whether to go on with it.
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -113,6 +113,18 @@
 	return s, nil
 }
 
+// Drop ends the connection to an address, if there is one; the next message
+// opens a new one. A connection that stays open without use tells nothing of a
+// host that has lost power meanwhile.
+func (c *Client) Drop(addr string) {
+	c.mu.Lock()
+	s := c.sessions[addr]
+	c.mu.Unlock()
+	if s != nil {
+		s.fail(ErrConnectionLost)
+	}
+}
+
 func (c *Client) forget(s *session) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"strings"
 	"sync"
@@ -109,6 +110,24 @@
 			_, err = Call[echoRequest, echoReply](ctx, c, closed, "echo", echoRequest{})
 			So(IsRefused(err), ShouldBeTrue)
 		})
+		Convey("a dropped connection fails the calls on it, and the next call opens another", func() {
+			waiting := make(chan error, 1)
+			go func() {
+				_, err := Call[echoRequest, echoReply](ctx, c, addr, "echo", echoRequest{Text: "slow", Wait: time.Hour})
+				waiting <- err
+			}()
+			for calling := false; !calling; time.Sleep(time.Millisecond) {
+				session, err := c.session(addr)
+				So(err, ShouldBeNil)
+				session.mu.Lock()
+				calling = len(session.pending) > 0
+				session.mu.Unlock()
+			}
+			c.Drop(addr)
+			So(errors.Is(<-waiting, ErrConnectionLost), ShouldBeTrue)
+			_, err := Call[echoRequest, echoReply](ctx, c, addr, "echo", echoRequest{Text: "again"})
+			So(err, ShouldBeNil)
+		})
 		Convey("garbage bytes on the port do not stop the server", func() {
 			conn, err := net.Dial("tcp", addr)
 			So(err, ShouldBeNil)
