--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -28,13 +28,11 @@
 	defaultHeaderBytes   = 16 << 10
 )
 
-var errHeaderTooLarge = errors.New("the request header is over the limit")
-
 // caller is one connection of a caller.
 type caller struct {
 	gateway *Gateway
 	conn    net.Conn
-	meter   *meteredReader
+	limiter *hop.HeadLimiter
 	reader  *bufio.Reader
 	writer  *bufio.Writer
 	ctx     context.Context
@@ -49,11 +47,11 @@
 
 func newCaller(g *Gateway, conn net.Conn) *caller {
 	ctx, cancel := context.WithCancel(context.Background())
-	meter := &meteredReader{reader: conn}
+	limiter := hop.NewHeadLimiter(conn)
 	first := make(chan struct{})
 	close(first)
 	return &caller{
-		gateway: g, conn: conn, meter: meter, reader: bufio.NewReaderSize(meter, callerBuffer),
+		gateway: g, conn: conn, limiter: limiter, reader: bufio.NewReaderSize(limiter, callerBuffer),
 		writer: bufio.NewWriterSize(conn, callerBuffer), ctx: ctx, cancel: cancel,
 		queue: make(chan *exchange, readAhead), last: first,
 	}
@@ -116,7 +114,7 @@
 func (c *caller) readFailed(err error) {
 	var problem *reply
 	switch {
-	case errors.Is(err, errHeaderTooLarge):
+	case errors.Is(err, hop.ErrHeadTooLarge):
 		problem = newReply(http.StatusRequestHeaderFieldsTooLarge, "the request header is too large")
 	case isBadRequest(err):
 		problem = newReply(http.StatusBadRequest, "the request cannot be read")
@@ -167,9 +165,9 @@
 		// The connection is not idle while an answer is due.
 	}
 	_ = c.conn.SetReadDeadline(time.Now().Add(header))
-	c.meter.allow(size + callerBuffer)
+	c.limiter.Allow(size + callerBuffer)
 	request, err := http.ReadRequest(c.reader)
-	c.meter.unlimited()
+	c.limiter.Unlimited()
 	_ = c.conn.SetReadDeadline(time.Time{})
 	return request, err
 }
@@ -240,22 +238,3 @@
 	c.last = x.done
 	return true
 }
-
-// meteredReader fails once a request header exceeds its limit.
-type meteredReader struct {
-	reader  io.Reader
-	left    int64
-	limited bool
-}
-
-func (r *meteredReader) allow(n int64) { r.left, r.limited = n, true }
-func (r *meteredReader) unlimited()    { r.limited = false }
-
-func (r *meteredReader) Read(p []byte) (int, error) {
-	if r.limited && r.left <= 0 {
-		return 0, errHeaderTooLarge
-	}
-	n, err := r.reader.Read(p)
-	r.left -= int64(n)
-	return n, err
-}
--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -20,6 +20,8 @@
 	unackedLimit   = 700 * time.Millisecond
 	readBuffer     = 4 << 10
 	maxInformative = 8 // 1xx responses and answers to earlier requests that are passed over
+	// maxHead bounds the head of a response. Targets in trouble send heads without end.
+	maxHead = 64 << 10
 )
 
 var (
@@ -33,6 +35,7 @@
 type Conn struct {
 	address   string // of the target
 	conn      net.Conn
+	limiter   *HeadLimiter // between conn and reader
 	reader    *bufio.Reader
 	used      time.Duration // end of the last request
 	keepAlive time.Duration // the target closes after this idle time, 0 if unknown
@@ -61,7 +64,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{address: address, conn: conn, reader: bufio.NewReaderSize(conn, readBuffer), resume: make(chan bool, 1), fresh: true}, nil
+	limiter := NewHeadLimiter(conn)
+	return &Conn{address: address, conn: conn, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBuffer),
+		resume: make(chan bool, 1), fresh: true}, nil
 }
 
 func limitUnacked(_, _ string, raw syscall.RawConn) error {
@@ -111,7 +116,7 @@
 // responses and late answers to earlier requests.
 func (u *Conn) readResponse(request *http.Request, id string) Result {
 	for range maxInformative {
-		response, err := http.ReadResponse(u.reader, request)
+		response, err := u.readHead(request)
 		if err != nil {
 			return Result{Err: err}
 		}
@@ -136,6 +141,13 @@
 	return Result{Err: ErrWrongAnswer}
 }
 
+// readHead reads a response up to its body.
+func (u *Conn) readHead(request *http.Request) (*http.Response, error) {
+	u.limiter.Allow(maxHead + readBuffer)
+	defer u.limiter.Unlimited()
+	return http.ReadResponse(u.reader, request)
+}
+
 // Expect says that a request is about to be written; its response arrives on
 // the channel. It reports false if the connection has ended.
 func (u *Conn) Expect(request *http.Request, id string) (<-chan Result, bool) {
