End the connection of a refusal whose body was not read

What callers saw: requests after one that a target refused with a body of over 16 KB were answered 502 or 503 though a target had room.

Cause: an answer is read up to 16 KB before it is judged. A refusal (the target has not run the request) is dropped then, and its connection was kept for later requests in the middle of the body, which is no answer to them.

Change: such a connection ends. Found while testing answers without end; TestRefusalWithUnreadBodyEndsItsConnection failed before: three requests on one connection.

--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/hornbeamstack/hornbeamstack/pkg/policy"
@@ -54,3 +55,46 @@
 		}
 	}
 }
+
+// Guards against a connection that is used again in the middle of a refusal's
+// body: what comes next on it is no answer to the next request.
+func TestRefusalWithUnreadBodyEndsItsConnection(t *testing.T) {
+	var mu sync.Mutex
+	requests := map[net.Conn]int{}
+	first := "" // home of the object
+	script := func(target *fakeTarget, conn net.Conn, r *http.Request) {
+		mu.Lock()
+		refuses := target.name == first
+		if refuses {
+			requests[conn]++
+		}
+		mu.Unlock()
+		if !refuses {
+			ok(target, conn, r)
+			return
+		}
+		// The rest of the body does not come yet.
+		fmt.Fprintf(conn, "HTTP/1.1 503 X\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: %d\r\n\r\n%s",
+			r.Header.Get("Id"), 10*bufferedAnswer, strings.Repeat("x", bufferedAnswer))
+	}
+	f := newFixture(t, script, script)
+	f.gateway.view.setPlace(f.gateway.now(), 0, 1) // the whole retry budget
+	mu.Lock()
+	first = f.targets[f.order(policy.Unsafe)[0]].name
+	mu.Unlock()
+	for i := range 3 {
+		if r, body := f.do("POST", "/unsafe/x", fmt.Sprint(i), "b"); r.StatusCode != http.StatusOK {
+			t.Errorf("request %d is answered %d %q", i, r.StatusCode, body)
+		}
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	for _, n := range requests {
+		if n > 1 {
+			t.Errorf("%d requests were sent on a connection in the middle of an answer", n)
+		}
+	}
+	if len(requests) == 0 {
+		t.Error("the first home got no request")
+	}
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -89,7 +89,7 @@
 	a := d.readAnswer(u, t, e, r, complete)
 	if r.Answer.NotExecuted {
 		if a.reply != nil && a.reply.finish != nil {
-			a.reply.finish(true)
+			a.reply.finish(false) // the rest of the body stays unread
 		}
 		return attempt{outcome: notRun, released: a.released}
 	}
