--- a/internal/gateway/watch_loss_test.go
+++ b/internal/gateway/watch_loss_test.go
@@ -2,18 +2,13 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"sync"
 	"testing"
 	"time"
 
-	"github.com/charmbracelet/log"
-
 	"github.com/hornbeamstack/hornbeamstack/internal/desired"
 	"github.com/hornbeamstack/hornbeamstack/internal/fleet"
-	"github.com/hornbeamstack/hornbeamstack/internal/peer"
-	"github.com/hornbeamstack/hornbeamstack/pkg/finding"
 	"github.com/hornbeamstack/hornbeamstack/pkg/policy"
 )
 
@@ -118,15 +113,9 @@
 // newTestWatch returns the watch of an entry host with a clock of the test.
 func newTestWatch(t *testing.T, now *time.Duration, seeds ...string) *watch {
 	t.Helper()
-	client := peer.NewClient("g")
-	t.Cleanup(client.Close)
-	g := New(Config{Name: "g", Zone: "z", Region: "r", Seeds: seeds, RetryWindow: time.Second,
-		Client: client, Log: log.New(io.Discard), Codec: fakeCodec{},
-		Decode: func(body []byte) (*policy.Policy, finding.List) {
-			return &policy.Policy{Version: policy.Version(body[0])}, nil
-		}})
-	g.watch.now = func() time.Duration { return *now }
-	return g.watch
+	w := newWatchingGateway(t, seeds...).watch
+	w.now = func() time.Duration { return *now }
+	return w
 }
 
 // Guards against an entry host that leaves all control hosts alone after they
--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -57,6 +57,18 @@
 	return c.pulls
 }
 
+// newWatchingGateway returns an entry host whose policies are one byte, the version.
+func newWatchingGateway(t *testing.T, seeds ...string) *Gateway {
+	t.Helper()
+	client := peer.NewClient("g")
+	t.Cleanup(client.Close)
+	return New(Config{Name: "g", Zone: "z", Region: "r", Seeds: seeds, RetryWindow: time.Second,
+		Client: client, Log: log.New(io.Discard), Codec: fakeCodec{},
+		Decode: func(body []byte) (*policy.Policy, finding.List) {
+			return &policy.Policy{Version: policy.Version(body[0])}, nil
+		}})
+}
+
 // Guards against an entry host that waits for a control host which is down or
 // cut off, that goes back to older news, or that is ready before it has any.
 func TestWatchTurnsToControlHostsInContact(t *testing.T) {
@@ -79,13 +91,7 @@
 		t.Fatal(err)
 	}
 	_ = dead.Close()
-	client := peer.NewClient("g")
-	t.Cleanup(client.Close)
-	g := New(Config{Name: "g", Zone: "z", Region: "r", Seeds: []string{dead.Addr().String(), stale.address, fresh.address}, RetryWindow: time.Second,
-		Client: client, Log: log.New(io.Discard), Codec: fakeCodec{},
-		Decode: func(body []byte) (*policy.Policy, finding.List) {
-			return &policy.Policy{Version: policy.Version(body[0])}, nil
-		}})
+	g := newWatchingGateway(t, dead.Addr().String(), stale.address, fresh.address)
 	if g.Ready() {
 		t.Error("ready without any news")
 	}
