Start the founder last in the test of founding

Cause: the founder's own loop dials member b while the test has not started b yet. peer shares one connection attempt among all calls to an address, so the test's call may join an attempt made before b listened and get its refusal. Outside of the test the loop asks again 250 ms later, and no group is founded in between, so callers and operators see nothing of it.

Change: member b listens before the founder starts. All that the test asserts stays as it was.

--- a/internal/replica/fault_test.go
+++ b/internal/replica/fault_test.go
@@ -126,8 +126,10 @@
 		c := newCluster(t, "a", "b", "c")
 		ctx := testContext(t)
 		Convey("no group is founded while one of them does not answer", func() {
-			c.start("a")
+			// The founder starts last: a call of it may share a connection attempt
+			// that its own loop made before the other host listened.
 			c.start("b")
+			c.start("a")
 			err := c.hosts["a"].group.found()
 			So(err, ShouldNotBeNil)
 			So(err.Error(), ShouldContainSubstring, "member c does not answer")
@@ -138,8 +140,8 @@
 					c.stop(name)
 					c.hosts[name].folder += ".new"
 				}
-				c.start("a")
 				c.start("b")
+				c.start("a")
 				err := c.hosts["a"].group.found()
 				So(err, ShouldNotBeNil)
 				So(err.Error(), ShouldContainSubstring, "member c holds a history")
