Give tests that bind an address again a loopback IP of their own

Cause: the tests of replica, zone and claims close a listener on 127.0.0.1 and bind its port again later. Another process may be given that port meanwhile, for a listener or for an outgoing connection.

Change: internal/loopback listens on an IP that is made from the process's number, so no other process takes ports of it.

--- a/internal/zone/cluster_test.go
+++ b/internal/zone/cluster_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/hornbeamstack/hornbeamstack/internal/loopback"
 	"github.com/hornbeamstack/hornbeamstack/internal/peer"
 	"github.com/hornbeamstack/hornbeamstack/pkg/bundle"
 	"github.com/hornbeamstack/hornbeamstack/pkg/slots"
@@ -48,10 +49,7 @@
 	for _, az := range zones {
 		for i := range perZone {
 			h := &testHost{name: fmt.Sprintf("%s%d", az, i), az: az}
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
+			l := loopback.Listen(t)
 			h.listener, h.addr = l, l.Addr().String()
 			c.hosts[h.name] = h
 		}
