Print the log of replica's test hosts when a test fails

A failure of TestFounding (leadership was lost, 1 of 1,296 runs) could not be read, because the hosts of the test logged to nowhere. The log goes to the output of the test, which go test prints only when it fails.

--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"path/filepath"
 	"slices"
@@ -108,7 +107,7 @@
 	h.client, h.machine, h.served = peer.NewClient(name), &listMachine{}, make(chan struct{})
 	h.group, err = start(Config{
 		Host: name, Members: c.members, Server: server, Client: h.client, Machine: h.machine,
-		Folder: h.folder, Log: log.New(io.Discard),
+		Folder: h.folder, Log: log.NewWithOptions(c.t.Output(), log.Options{Prefix: name, ReportTimestamp: true, TimeFormat: "05.000"}),
 	}, wal.Options{Folder: h.folder, Host: name, Files: c.files[name]})
 	if err != nil {
 		c.t.Fatal(err)
