Check the hosts of a policy in package policy

The check for an empty host without routes stood in the adapter of the platform, which should only decode. Policy lists its hosts now, and Check reports an empty one; an empty host with routes is reported for the host, too.

TestInvalidPolicies still refuses the same documents; the new TestCheckFindsAnEmptyHost guards the check itself.

--- a/pkg/policy/check.go
+++ b/pkg/policy/check.go
@@ -13,6 +13,11 @@
 // Check returns everything that makes the policy unusable, with its place.
 func (p *Policy) Check(source string) finding.List {
 	var found finding.List
+	for i, host := range p.Hosts {
+		if host == "" {
+			found.Add(source, 0, fmt.Sprintf("hosts[%d]", i), "host is empty")
+		}
+	}
 	for i := range p.Routes {
 		p.checkRoute(&found, source, i)
 	}
--- a/pkg/policy/policy.go
+++ b/pkg/policy/policy.go
@@ -31,6 +31,7 @@
 type Policy struct {
 	Version  Version
 	Limits   Limits
+	Hosts    []string // all hosts, also those without routes
 	Routes   []Route
 	Services map[string]Service
 
--- a/pkg/policy/policy_test.go
+++ b/pkg/policy/policy_test.go
@@ -35,6 +35,15 @@
 	}
 }
 
+// Guards against accepting an empty host that has no routes.
+func TestCheckFindsAnEmptyHost(t *testing.T) {
+	p := valid()
+	p.Hosts = []string{"h", ""}
+	if text := p.Check("p").Error(); !strings.Contains(text, "hosts[1]") {
+		t.Errorf("findings %q lack hosts[1]", text)
+	}
+}
+
 // Guards against reporting only the first of several faults.
 func TestCheckFindsAllFaults(t *testing.T) {
 	p := valid()
