Log a regained contact when the reply comes

The line "contact with control hosts regained" was written by the housekeeping that runs twice a second, and its silence ended at the last reply before that, so it could be half a second too long. The watch checks the contact after each reply, too. TestContactIsRegainedWithTheReply failed before.

--- a/internal/gateway/contact_test.go
+++ b/internal/gateway/contact_test.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"context"
 	"testing"
 	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/fleet"
 )
 
 // Guards against an entry host without news whose log does not say so, or says
@@ -26,3 +29,17 @@
 		}
 	}
 }
+
+// Guards against a logged silence that lasts until the log looks at it, not until the reply.
+func TestContactIsRegainedWithTheReply(t *testing.T) {
+	control := newFakeControl(t, func(fleet.PullRequest) fleet.PullReply { return fleet.PullReply{Fresh: true} })
+	now := 5 * time.Second
+	w := newTestWatch(t, &now, control.address)
+	w.fresh, w.contact = time.Second, contactLog{lost: true, since: time.Second}
+	for _, c := range w.controls {
+		w.pull(context.Background(), c)
+	}
+	if w.contact.lost {
+		t.Error("the reply of a control host does not end the silence")
+	}
+}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -118,6 +118,7 @@
 		return false
 	}
 	w.learn(c, &reply)
+	w.checkContact()
 	if !reply.Fresh {
 		w.shun(c, activeShun, "not in contact with a majority", nil)
 	}
