Do not use connections to an earlier start of a relay

What callers saw: 502 for a request that may not be repeated, one for each connection that an entry host kept to a relay whose host lost power and came back.

A loss of power tells the other side of a connection nothing, so the entry host kept connections that had died with their host. The first request on each is reset; nobody knows whether the relay has read it, so it is not sent again.

Change: the pool keeps connections by address and start of the process. The start of a relay is the epoch that its control host names in each reply, and a relay is only used while its host answers, so connections of before are never used after a return.

Ruled out: closing the kept connections when the watch gives the host up. A host that loses power while the entry host watches another one is given up by no one, and connections at work come back to the pool later.

TestRelayConnectionsEndWithTheirHost failed before (status 502); TestPoolTellsStartsApart guards the pool.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -68,14 +68,14 @@
 // why there is none.
 func (d *delivery) connect(t *roster.Target, e *evidence.Target) (*hop.Conn, attempt) {
 	g := d.gateway
-	if u := g.pool.Get(t.Address, d.exchange.route.Kind.Idempotent()); u != nil {
+	if u := g.pool.Get(hop.Endpoint{Address: t.Address}, d.exchange.route.Kind.Idempotent()); u != nil {
 		return u, attempt{}
 	}
 	limit := min(hop.DialTimeout, d.deadline-g.now())
 	if limit <= 0 {
 		return nil, attempt{outcome: unreached, err: errNoTimeLeft}
 	}
-	u, err := g.pool.Dial(t.Address, limit)
+	u, err := g.pool.Dial(hop.Endpoint{Address: t.Address}, limit)
 	if err != nil {
 		if countsAgainstTarget(limit, err) {
 			e.Unreachable(g.now())
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -50,15 +50,15 @@
 
 // connect returns a connection to a relay, nil if there is none to use.
 func (r *relays) connect(now time.Duration, repeatable bool) *hop.Conn {
-	address := r.watch.relay(relaySilence)
-	if address == "" || r.shuns(now, address) {
+	relay := r.watch.relay(relaySilence)
+	if relay.Address == "" || r.shuns(now, relay.Address) {
 		return nil
 	}
-	u := r.pool.Get(address, repeatable)
+	u := r.pool.Get(relay, repeatable)
 	if u == nil {
 		var err error
-		if u, err = r.pool.Dial(address, relayDialTimeout); err != nil {
-			r.unreached(now, address, err)
+		if u, err = r.pool.Dial(relay, relayDialTimeout); err != nil {
+			r.unreached(now, relay.Address, err)
 			return nil
 		}
 	}
--- a/internal/gateway/relays_test.go
+++ b/internal/gateway/relays_test.go
@@ -153,19 +153,39 @@
 	}
 	time.Sleep(time.Millisecond) // a host that was never heard has the time zero
 	set("far", "z3", "r2", 0)
-	if got := w.relay(relaySilence); got != "" {
+	if got := w.relay(relaySilence).Address; got != "" {
 		t.Errorf("relay %q of another region is used", got)
 	}
 	set("region", "z2", "r1", 0)
-	if got := w.relay(relaySilence); got != "region" {
+	if got := w.relay(relaySilence).Address; got != "region" {
 		t.Errorf("relay %q, want that of the region", got)
 	}
 	set("zone", "z1", "r1", 0)
-	if got := w.relay(relaySilence); got != "zone" {
+	if got := w.relay(relaySilence).Address; got != "zone" {
 		t.Errorf("relay %q, want that of the zone", got)
 	}
 	set("zone", "z1", "r1", relaySilence)
-	if got := w.relay(relaySilence); got != "region" {
+	if got := w.relay(relaySilence).Address; got != "region" {
 		t.Errorf("relay %q while the zone's is silent, want that of the region", got)
 	}
 }
+
+// Guards against requests that are lost on connections which a relay's host that
+// lost power has left behind: the host is back, and resets them.
+func TestRelayConnectionsEndWithTheirHost(t *testing.T) {
+	f := newFixture(t, ok)
+	line := newPowerLine(t, startRelay(t, true))
+	f.relayAt(line.address)
+	if r, _ := f.do("POST", "/unsafe/x", "1", "hello"); r.StatusCode != 200 {
+		t.Fatalf("status %d before the loss of power", r.StatusCode)
+	}
+	line.fail()
+	f.relayAt(line.address)
+	w := f.gateway.watch
+	w.mu.Lock()
+	w.controls["c"].epoch++ // the host has answered again
+	w.mu.Unlock()
+	if r, body := f.do("POST", "/unsafe/x", "2", "hello"); r.StatusCode != 200 {
+		t.Errorf("status %d with body %q after the return of the relay", r.StatusCode, body)
+	}
+}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -30,7 +30,7 @@
 // controlState is what the watch knows of one control host.
 type controlState struct {
 	control  fleet.Control
-	epoch    int64
+	epoch    int64 // start of the control host that answered last
 	revision uint64
 	watched  bool
 	states   uint64        // number of the target states held
--- a/internal/gateway/watch_relay.go
+++ b/internal/gateway/watch_relay.go
@@ -3,20 +3,23 @@
 import (
 	"math"
 	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/hop"
 )
 
-// relay returns the address of a relay whose host was heard within a time: that
-// of the own availability zone, or else one of the own region; "" if there is none.
-func (w *watch) relay(within time.Duration) string {
+// relay returns a relay whose host was heard within a time: that of the own
+// availability zone, or else one of the own region; its address is "" if there
+// is none.
+func (w *watch) relay(within time.Duration) hop.Endpoint {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	best := w.best(func(c *controlState) bool {
 		return c.control.Relay != "" && c.answered > 0 && w.now()-c.answered < within && w.distance(c) < otherRegion
 	})
 	if best == nil {
-		return ""
+		return hop.Endpoint{}
 	}
-	return best.control.Relay
+	return hop.Endpoint{Address: best.control.Relay, Start: best.epoch}
 }
 
 // relaySilent returns the time since the host of a relay was heard.
--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -33,7 +33,7 @@
 
 // Conn is a connection on which requests are sent. One request is at work on it at a time.
 type Conn struct {
-	address   string // of the target
+	to        Endpoint
 	conn      net.Conn
 	limiter   *HeadLimiter // between conn and reader
 	reader    *bufio.Reader
@@ -58,14 +58,14 @@
 	Err      error
 }
 
-func dial(address string, timeout time.Duration) (*Conn, error) {
+func dial(to Endpoint, timeout time.Duration) (*Conn, error) {
 	dialer := net.Dialer{Timeout: timeout, Control: limitUnacked, KeepAlive: 5 * time.Second}
-	conn, err := dialer.Dial("tcp", address)
+	conn, err := dialer.Dial("tcp", to.Address)
 	if err != nil {
 		return nil, err
 	}
 	limiter := NewHeadLimiter(conn)
-	return &Conn{address: address, conn: conn, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBuffer),
+	return &Conn{to: to, conn: conn, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBuffer),
 		resume: make(chan bool, 1), fresh: true}, nil
 }
 
@@ -186,7 +186,7 @@
 }
 
 // Address is where the connection leads to.
-func (u *Conn) Address() string { return u.address }
+func (u *Conn) Address() string { return u.to.Address }
 
 // Fresh reports whether no earlier request was sent on the connection.
 func (u *Conn) Fresh() bool { return u.fresh }
--- a/internal/hop/endless_test.go
+++ b/internal/hop/endless_test.go
@@ -61,7 +61,7 @@
 		t.Run(name, func(t *testing.T) {
 			address, taken := listenEndless(t, c.start, c.part)
 			p := NewPool(plainCodec{}, func() time.Duration { return 0 }, 1)
-			u, err := p.Dial(address, time.Second)
+			u, err := p.Dial(Endpoint{Address: address}, time.Second)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/hop/pool.go
+++ b/internal/hop/pool.go
@@ -15,7 +15,15 @@
 	idleLimit = 30 * time.Second
 )
 
-// Pool keeps idle connections to targets by address.
+// Endpoint is one start of a process that takes connections. A later start at the
+// same address is another endpoint: after a loss of power nothing tells that the
+// connections to the earlier one are gone.
+type Endpoint struct {
+	Address string
+	Start   int64 // differs between starts; 0 if unknown
+}
+
+// Pool keeps idle connections to targets and relays.
 type Pool struct {
 	codec Codec
 	now   func() time.Duration
@@ -23,21 +31,21 @@
 	most int // idle connections that are kept
 
 	mu    sync.Mutex
-	idle  map[string][]*Conn
+	idle  map[Endpoint][]*Conn
 	count int // of idle connections
 }
 
 // NewPool returns an empty pool that keeps so many idle connections at most; now
 // is the time since some start.
 func NewPool(codec Codec, now func() time.Duration, most int) *Pool {
-	return &Pool{codec: codec, now: now, most: most, idle: map[string][]*Conn{}}
+	return &Pool{codec: codec, now: now, most: most, idle: map[Endpoint][]*Conn{}}
 }
 
 // Get returns an idle connection, the one used last first, nil if there is none.
-func (p *Pool) Get(address string, repeatable bool) *Conn {
+func (p *Pool) Get(to Endpoint, repeatable bool) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[address]
+	list := p.idle[to]
 	for len(list) > 0 {
 		u := list[len(list)-1]
 		keep := u.keepAlive
@@ -56,18 +64,18 @@
 		}
 		list = list[:len(list)-1]
 		p.count--
-		p.idle[address] = list
+		p.idle[to] = list
 		if u.usable() {
 			return u
 		}
 	}
-	p.idle[address] = list
+	p.idle[to] = list
 	return nil
 }
 
 // Dial opens a new connection.
-func (p *Pool) Dial(address string, timeout time.Duration) (*Conn, error) {
-	u, err := dial(address, timeout)
+func (p *Pool) Dial(to Endpoint, timeout time.Duration) (*Conn, error) {
+	u, err := dial(to, timeout)
 	if err != nil {
 		return nil, err
 	}
@@ -91,19 +99,19 @@
 		go u.Close()
 		return
 	}
-	p.idle[u.address] = append(p.idle[u.address], u)
+	p.idle[u.to] = append(p.idle[u.to], u)
 	p.count++
 }
 
-// Forget closes all idle connections to an address.
-func (p *Pool) Forget(address string) {
+// Forget closes all idle connections to an endpoint.
+func (p *Pool) Forget(to Endpoint) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, u := range p.idle[address] {
+	for _, u := range p.idle[to] {
 		go u.Close()
 	}
-	p.count -= len(p.idle[address])
-	delete(p.idle, address)
+	p.count -= len(p.idle[to])
+	delete(p.idle, to)
 }
 
 // Size is the number of idle connections.
@@ -116,15 +124,15 @@
 func (p *Pool) drop(u *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[u.address]
+	list := p.idle[u.to]
 	for i, o := range list {
 		if o == u {
-			p.idle[u.address] = append(list[:i:i], list[i+1:]...)
+			p.idle[u.to] = append(list[:i:i], list[i+1:]...)
 			p.count--
 			break
 		}
 	}
-	if len(p.idle[u.address]) == 0 {
-		delete(p.idle, u.address)
+	if len(p.idle[u.to]) == 0 {
+		delete(p.idle, u.to)
 	}
 }
--- a/internal/hop/pool_test.go
+++ b/internal/hop/pool_test.go
@@ -49,9 +49,9 @@
 }
 
 // use sends a request on a new connection and returns it after the answer.
-func use(t *testing.T, p *Pool, address string) *Conn {
+func use(t *testing.T, p *Pool, to Endpoint) *Conn {
 	t.Helper()
-	u, err := p.Dial(address, time.Second)
+	u, err := p.Dial(to, time.Second)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -71,19 +71,19 @@
 func TestPoolKeepsABoundedNumber(t *testing.T) {
 	now := time.Duration(0)
 	p := NewPool(plainCodec{}, func() time.Duration { return now }, 3)
-	addresses := []string{listen(t), listen(t)}
+	ends := []Endpoint{{Address: listen(t)}, {Address: listen(t)}}
 	for i := range 5 {
-		p.Put(use(t, p, addresses[i%2]))
+		p.Put(use(t, p, ends[i%2]))
 	}
 	if p.Size() != 3 {
 		t.Errorf("%d connections are kept, want 3", p.Size())
 	}
-	if u := p.Get(addresses[0], true); u == nil || p.Size() != 2 {
+	if u := p.Get(ends[0], true); u == nil || p.Size() != 2 {
 		t.Errorf("connection %v, %d stay", u, p.Size())
 	}
 	now = time.Minute
-	for _, address := range addresses {
-		if u := p.Get(address, true); u != nil {
+	for _, to := range ends {
+		if u := p.Get(to, true); u != nil {
 			t.Error("a connection that was idle for a minute is used")
 		}
 	}
@@ -94,9 +94,9 @@
 
 // Guards against requests that are lost on other kept connections to a host that
 // has gone silent, and against a count that drifts.
-func TestPoolForgetsAnAddress(t *testing.T) {
+func TestPoolForgetsAnEndpoint(t *testing.T) {
 	p := NewPool(plainCodec{}, func() time.Duration { return 0 }, 10)
-	gone, other := listen(t), listen(t)
+	gone, other := Endpoint{Address: listen(t)}, Endpoint{Address: listen(t)}
 	kept := []*Conn{use(t, p, gone), use(t, p, gone), use(t, p, other)}
 	for _, u := range kept {
 		p.Put(u)
@@ -106,3 +106,18 @@
 		t.Errorf("%d connections are kept", p.Size())
 	}
 }
+
+// Guards against requests that are lost on connections to an earlier start of a process.
+func TestPoolTellsStartsApart(t *testing.T) {
+	p := NewPool(plainCodec{}, func() time.Duration { return 0 }, 10)
+	first := Endpoint{Address: listen(t), Start: 1}
+	second := Endpoint{Address: first.Address, Start: 2}
+	u := use(t, p, first)
+	p.Put(u)
+	if p.Get(second, true) != nil {
+		t.Error("a connection to the first start is used for the second")
+	}
+	if p.Get(first, true) != u {
+		t.Error("a connection to the first start is not used for it")
+	}
+}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -92,7 +92,7 @@
 	if s.silences.holds(s.now(), x.address) {
 		return nil, Unreached, errSilent
 	}
-	if u := s.pool.Get(x.address, x.repeatable); u != nil {
+	if u := s.pool.Get(hop.Endpoint{Address: x.address}, x.repeatable); u != nil {
 		return u, "", nil
 	}
 	limit := min(hop.DialTimeout, x.left()-reportMargin)
@@ -100,7 +100,7 @@
 		return nil, Busy, context.DeadlineExceeded
 	}
 	s.count("relay.dials")
-	u, err := s.pool.Dial(x.address, limit)
+	u, err := s.pool.Dial(hop.Endpoint{Address: x.address}, limit)
 	if err == nil {
 		s.silences.answered(x.address)
 		return u, "", nil
@@ -139,7 +139,7 @@
 			// it would lose what is sent on them, too.
 			s := x.session.server
 			s.silences.failed(s.now(), x.address)
-			s.pool.Forget(x.address)
+			s.pool.Forget(hop.Endpoint{Address: x.address})
 		}
 		return r, outcomeOf(ctx)
 	case <-ctx.Done():
