Write the scripted target of tests once

The tests of gateway, relay and hop each had a target that answers by a script, and the next test needs the hosts that lose power of gateway's tests in relay, too. Both move to internal/nettest, which is the former internal/loopback. The tests assert what they asserted.

--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/google/uuid"
-	"github.com/hornbeamstack/hornbeamstack/internal/loopback"
+	"github.com/hornbeamstack/hornbeamstack/internal/nettest"
 	"github.com/hornbeamstack/hornbeamstack/internal/peer"
 	"github.com/hornbeamstack/hornbeamstack/pkg/claim"
 )
@@ -89,7 +89,7 @@
 	t.Cleanup(c.peers.Close)
 	var listeners []net.Listener
 	for i := range n {
-		l := loopback.Listen(t)
+		l := nettest.Listen(t)
 		listeners = append(listeners, l)
 		c.stores = append(c.stores, Store{Name: fmt.Sprint("control-", i), Peer: l.Addr().String()})
 		disk, recover := open()
--- a/internal/gateway/caller_test.go
+++ b/internal/gateway/caller_test.go
@@ -9,13 +9,14 @@
 	"testing"
 	"time"
 
+	"github.com/hornbeamstack/hornbeamstack/internal/nettest"
 	"github.com/hornbeamstack/hornbeamstack/pkg/policy"
 )
 
 // Guards against reading a request only after the answer to the one before.
 func TestRequestsAreReadAhead(t *testing.T) {
 	release := make(chan struct{})
-	f := newFixture(t, func(target *fakeTarget, c net.Conn, r *http.Request) {
+	f := newFixture(t, func(target *nettest.Target, c net.Conn, r *http.Request) {
 		if r.Header.Get("Id") == "i1" {
 			<-release
 		}
@@ -25,7 +26,7 @@
 	for i := 1; i <= 3; i++ {
 		fmt.Fprint(conn, request("GET", "/safe/1", fmt.Sprint("i", i), ""))
 	}
-	for len(f.targets[0].ids()) < 3 {
+	for len(ids(f.targets[0])) < 3 {
 		time.Sleep(time.Millisecond) // the test's own time limit ends a wait without end
 	}
 	close(release)
@@ -38,7 +39,7 @@
 
 // Guards against running unsafe work that is sent again behind a closing answer.
 func TestUnsafeWaitsForItsTurn(t *testing.T) {
-	f := newFixture(t, func(target *fakeTarget, c net.Conn, r *http.Request) {
+	f := newFixture(t, func(target *nettest.Target, c net.Conn, r *http.Request) {
 		if r.Header.Get("Id") == "i1" {
 			time.Sleep(100 * time.Millisecond)
 		}
@@ -53,7 +54,7 @@
 	if _, err := io.ReadAll(br); err != nil {
 		t.Errorf("the connection did not end cleanly: %v", err)
 	}
-	if ids := f.targets[0].ids(); len(ids) != 1 {
+	if ids := ids(f.targets[0]); len(ids) != 1 {
 		t.Errorf("the target read %v, want only i1", ids)
 	}
 }
@@ -61,7 +62,7 @@
 // Guards against a stop that cuts off work, or that takes work it cannot end.
 func TestStopFinishesWork(t *testing.T) {
 	release := make(chan struct{})
-	f := newFixture(t, func(target *fakeTarget, c net.Conn, r *http.Request) {
+	f := newFixture(t, func(target *nettest.Target, c net.Conn, r *http.Request) {
 		<-release
 		ok(target, c, r)
 	})
@@ -70,7 +71,7 @@
 	_ = idle
 	f.gateway.view.current().Routes[0].Timeout = 8 * time.Second
 	fmt.Fprint(conn, request("GET", "/safe/1", "i1", ""))
-	for len(f.targets[0].ids()) == 0 {
+	for len(ids(f.targets[0])) == 0 {
 		time.Sleep(time.Millisecond)
 	}
 	stopped := make(chan struct{})
@@ -116,7 +117,7 @@
 			}
 		})
 	}
-	if n := len(f.targets[0].ids()); n != 0 {
+	if n := len(ids(f.targets[0])); n != 0 {
 		t.Errorf("a target read %d of the bad requests", n)
 	}
 }
@@ -146,25 +147,25 @@
 func TestStreamedAnswers(t *testing.T) {
 	long := strings.Repeat("x", 100<<10)
 	for name, c := range map[string]struct {
-		script func(*fakeTarget, net.Conn, *http.Request)
+		script nettest.Script
 		cut    bool
 	}{
-		"length": {func(_ *fakeTarget, c net.Conn, r *http.Request) { answer(c, 200, r.Header.Get("Id"), long) }, false},
-		"length cut": {func(_ *fakeTarget, c net.Conn, r *http.Request) {
+		"length": {func(_ *nettest.Target, c net.Conn, r *http.Request) { answer(c, 200, r.Header.Get("Id"), long) }, false},
+		"length cut": {func(_ *nettest.Target, c net.Conn, r *http.Request) {
 			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", r.Header.Get("Id"), len(long)+1, long)
 			_ = c.Close()
 		}, true},
-		"until close": {func(_ *fakeTarget, c net.Conn, r *http.Request) {
+		"until close": {func(_ *nettest.Target, c net.Conn, r *http.Request) {
 			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n\r\n%s", r.Header.Get("Id"), long)
 			_ = c.Close()
 		}, false},
-		"until reset": {func(_ *fakeTarget, c net.Conn, r *http.Request) {
+		"until reset": {func(_ *nettest.Target, c net.Conn, r *http.Request) {
 			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n\r\n%s", r.Header.Get("Id"), long)
 			time.Sleep(50 * time.Millisecond)
 			_ = c.(*net.TCPConn).SetLinger(0)
 			_ = c.Close()
 		}, true},
-		"chunked cut": {func(_ *fakeTarget, c net.Conn, r *http.Request) {
+		"chunked cut": {func(_ *nettest.Target, c net.Conn, r *http.Request) {
 			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", r.Header.Get("Id"), len(long), long)
 			_ = c.Close()
 		}, true},
@@ -190,16 +191,16 @@
 func TestRestOfABodyIsNoRequest(t *testing.T) {
 	hidden := request("POST", "/unsafe/1", "hidden", "x")
 	long := strings.Repeat("0", bufferedBody) + strings.Repeat(hidden, 200)
-	silent := func(*fakeTarget, net.Conn, *http.Request) {}
+	silent := func(*nettest.Target, net.Conn, *http.Request) {}
 	for name, spoil := range map[string]func(*fixture){
 		"a target that does not answer":    func(*fixture) {},
-		"no target that takes the request": func(f *fixture) { _ = f.targets[0].listener.Close() },
+		"no target that takes the request": func(f *fixture) { f.targets[0].Close() },
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t, silent, ok)
 			order := f.order(policy.Unsafe)
-			f.targets[order[0]].script, f.targets[order[1]].script = silent, ok
-			_ = f.targets[order[1]].listener.Close()
+			f.targets[order[0]].Script, f.targets[order[1]].Script = silent, ok
+			f.targets[order[1]].Close()
 			if order[0] != 0 {
 				f.targets[0], f.targets[order[0]] = f.targets[order[0]], f.targets[0]
 			}
@@ -217,7 +218,7 @@
 				t.Errorf("a second answer, %d, to one request", second.StatusCode)
 			}
 			for _, target := range f.targets {
-				for _, id := range target.ids() {
+				for _, id := range ids(target) {
 					if id == "hidden" {
 						t.Fatal("bytes of the body ran as a request")
 					}
--- a/internal/gateway/choose_test.go
+++ b/internal/gateway/choose_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hornbeamstack/hornbeamstack/internal/fleet"
+	"github.com/hornbeamstack/hornbeamstack/internal/nettest"
 	"github.com/hornbeamstack/hornbeamstack/pkg/evidence"
 	"github.com/hornbeamstack/hornbeamstack/pkg/roster"
 )
@@ -76,11 +77,11 @@
 // ended at them: only the comparison with others tells a slow one from a busy
 // service.
 func TestEndOfTimeIsNoEvidenceOfOneHost(t *testing.T) {
-	for name, script := range map[string]func(*fakeTarget, net.Conn, *http.Request){
-		"the target says so": func(_ *fakeTarget, conn net.Conn, r *http.Request) {
+	for name, script := range map[string]nettest.Script{
+		"the target says so": func(_ *nettest.Target, conn net.Conn, r *http.Request) {
 			answer(conn, http.StatusGatewayTimeout, r.Header.Get("Id"), "")
 		},
-		"in the middle of an answer": func(_ *fakeTarget, conn net.Conn, r *http.Request) {
+		"in the middle of an answer": func(_ *nettest.Target, conn net.Conn, r *http.Request) {
 			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 100\r\n\r\nshort", r.Header.Get("Id"))
 		},
 	} {
--- a/internal/gateway/delivery_test.go
+++ b/internal/gateway/delivery_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/hornbeamstack/hornbeamstack/internal/hop"
+	"github.com/hornbeamstack/hornbeamstack/internal/nettest"
 	"github.com/hornbeamstack/hornbeamstack/pkg/admission"
 	"github.com/hornbeamstack/hornbeamstack/pkg/evidence"
 	"github.com/hornbeamstack/hornbeamstack/pkg/policy"
@@ -22,47 +23,49 @@
 // Guards against wrong answers to callers when a target misbehaves. Each case
 // scripts the first home of the object; the second home answers well.
 func TestFaultyFirstTarget(t *testing.T) {
-	runs := func(status int, body string) func(*fakeTarget, net.Conn, *http.Request) {
-		return func(_ *fakeTarget, conn net.Conn, r *http.Request) { answer(conn, status, r.Header.Get("Id"), body) }
+	runs := func(status int, body string) nettest.Script {
+		return func(_ *nettest.Target, conn net.Conn, r *http.Request) {
+			answer(conn, status, r.Header.Get("Id"), body)
+		}
 	}
 	cases := []struct {
 		name   string
 		kind   policy.Kind
-		script func(*fakeTarget, net.Conn, *http.Request)
+		script nettest.Script
 		status int
 		second int // requests that the second home may have read
 	}{
-		{"refused work is sent on even if it must not repeat", policy.Unsafe, func(_ *fakeTarget, c net.Conn, r *http.Request) {
+		{"refused work is sent on even if it must not repeat", policy.Unsafe, func(_ *nettest.Target, c net.Conn, r *http.Request) {
 			answer(c, 503, r.Header.Get("Id"), "", "Not-Run: 1")
 		}, 200, 1},
-		{"another instance at the address runs nothing", policy.Unsafe, func(_ *fakeTarget, c net.Conn, r *http.Request) {
+		{"another instance at the address runs nothing", policy.Unsafe, func(_ *nettest.Target, c net.Conn, r *http.Request) {
 			answer(c, 421, r.Header.Get("Id"), "")
 		}, 200, 1},
-		{"a closed connection leaves unsafe work unknown", policy.Unsafe, func(_ *fakeTarget, c net.Conn, _ *http.Request) { _ = c.Close() }, 502, 0},
-		{"a closed connection lets safe work repeat", policy.Safe, func(_ *fakeTarget, c net.Conn, _ *http.Request) { _ = c.Close() }, 200, 1},
-		{"an answer to another request is not passed on", policy.Unsafe, func(_ *fakeTarget, c net.Conn, _ *http.Request) {
+		{"a closed connection leaves unsafe work unknown", policy.Unsafe, func(_ *nettest.Target, c net.Conn, _ *http.Request) { _ = c.Close() }, 502, 0},
+		{"a closed connection lets safe work repeat", policy.Safe, func(_ *nettest.Target, c net.Conn, _ *http.Request) { _ = c.Close() }, 200, 1},
+		{"an answer to another request is not passed on", policy.Unsafe, func(_ *nettest.Target, c net.Conn, _ *http.Request) {
 			answer(c, 200, "other", "wrong")
 			_ = c.Close()
 		}, 502, 0},
-		{"bytes that are no answer are not passed on", policy.Safe, func(_ *fakeTarget, c net.Conn, _ *http.Request) {
+		{"bytes that are no answer are not passed on", policy.Safe, func(_ *nettest.Target, c net.Conn, _ *http.Request) {
 			fmt.Fprint(c, "garbage garbage\r\n\r\n")
 			_ = c.Close()
 		}, 200, 1},
-		{"a truncated answer is replaced", policy.Safe, func(_ *fakeTarget, c net.Conn, r *http.Request) {
+		{"a truncated answer is replaced", policy.Safe, func(_ *nettest.Target, c net.Conn, r *http.Request) {
 			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 100\r\n\r\nshort", r.Header.Get("Id"))
 			_ = c.Close()
 		}, 200, 1},
-		{"a truncated answer to unsafe work is a failure", policy.Unsafe, func(_ *fakeTarget, c net.Conn, r *http.Request) {
+		{"a truncated answer to unsafe work is a failure", policy.Unsafe, func(_ *nettest.Target, c net.Conn, r *http.Request) {
 			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 100\r\n\r\nshort", r.Header.Get("Id"))
 			_ = c.Close()
 		}, 502, 0},
-		{"a success without a signature is not passed on", policy.Unsafe, func(_ *fakeTarget, c net.Conn, r *http.Request) {
+		{"a success without a signature is not passed on", policy.Unsafe, func(_ *nettest.Target, c net.Conn, r *http.Request) {
 			answer(c, 200, r.Header.Get("Id"), "wrong", "Unsigned: 1")
 		}, 502, 0},
 		{"failed safe work repeats", policy.Safe, runs(500, "failed"), 200, 1},
 		{"failed unsafe work is passed on", policy.Unsafe, runs(500, "failed"), 500, 0},
 		{"a target's plain 503 to unsafe work may have run", policy.Unsafe, runs(503, "busy"), 503, 0},
-		{"a silent target ends at the route's timeout", policy.Unsafe, func(_ *fakeTarget, _ net.Conn, _ *http.Request) {
+		{"a silent target ends at the route's timeout", policy.Unsafe, func(_ *nettest.Target, _ net.Conn, _ *http.Request) {
 			time.Sleep(3 * time.Second)
 		}, 504, 0},
 	}
@@ -70,7 +73,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			f := newFixture(t, ok, ok)
 			order := f.order(c.kind)
-			f.targets[order[0]].script = c.script
+			f.targets[order[0]].Script = c.script
 			method, body := "GET", ""
 			if c.kind == policy.Unsafe {
 				method, body = "POST", "x"
@@ -82,10 +85,10 @@
 			if strings.HasPrefix(text, "cut") || strings.Contains(text, "wrong") || strings.Contains(text, "short") {
 				t.Errorf("body %q reached the caller", text)
 			}
-			if n := len(f.targets[order[0]].ids()); n != 1 {
+			if n := len(ids(f.targets[order[0]])); n != 1 {
 				t.Errorf("the first target read %d requests, want 1", n)
 			}
-			if n := len(f.targets[order[1]].ids()); n != c.second {
+			if n := len(ids(f.targets[order[1]])); n != c.second {
 				t.Errorf("the second target read %d requests, want %d", n, c.second)
 			}
 			if r.Header.Get("Id") != "i1" {
@@ -97,7 +100,7 @@
 
 // Guards against taking a second answer for the answer to the next request.
 func TestExtraAnswerIsNotTheNext(t *testing.T) {
-	f := newFixture(t, func(target *fakeTarget, c net.Conn, r *http.Request) {
+	f := newFixture(t, func(target *nettest.Target, c net.Conn, r *http.Request) {
 		ok(target, c, r)
 		if r.Header.Get("Id") == "i1" {
 			answer(c, 200, "i1", "extra")
@@ -112,14 +115,14 @@
 			t.Fatalf("answer to %s: %d %s %q", id, r.StatusCode, r.Header.Get("Id"), body)
 		}
 	}
-	if n := len(f.targets[0].ids()); n != 4 {
+	if n := len(ids(f.targets[0])); n != 4 {
 		t.Errorf("the target read %d requests, want 4", n)
 	}
 }
 
 // Guards against sending unsafe work again when a kept connection has died.
 func TestUnsafeOnDeadConnectionRunsOnce(t *testing.T) {
-	closing := func(target *fakeTarget, c net.Conn, r *http.Request) {
+	closing := func(target *nettest.Target, c net.Conn, r *http.Request) {
 		if r.Header.Get("Id") == "i2" {
 			_ = c.Close() // read, and perhaps run
 			return
@@ -134,7 +137,7 @@
 	}
 	n := 0
 	for _, target := range f.targets {
-		for _, id := range target.ids() {
+		for _, id := range ids(target) {
 			if id == "i2" {
 				n++
 			}
@@ -147,7 +150,9 @@
 
 // Guards against a refusal after an unknown outcome: refused means not run.
 func TestRefusalOnlyIfNotRun(t *testing.T) {
-	shed := func(_ *fakeTarget, c net.Conn, r *http.Request) { answer(c, 503, r.Header.Get("Id"), "", "Not-Run: 1") }
+	shed := func(_ *nettest.Target, c net.Conn, r *http.Request) {
+		answer(c, 503, r.Header.Get("Id"), "", "Not-Run: 1")
+	}
 	f := newFixture(t, shed, shed)
 	r, _ := f.do("POST", "/unsafe/1", "i1", "x")
 	if r.StatusCode != 503 || r.Header.Get("Retry-After") == "" {
@@ -155,8 +160,8 @@
 	}
 	f = newFixture(t, ok, shed)
 	order := f.order(policy.Safe)
-	f.targets[order[0]].script = func(_ *fakeTarget, c net.Conn, _ *http.Request) { _ = c.Close() }
-	f.targets[order[1]].script = shed
+	f.targets[order[0]].Script = func(_ *nettest.Target, c net.Conn, _ *http.Request) { _ = c.Close() }
+	f.targets[order[1]].Script = shed
 	r, _ = f.do("GET", "/safe/1", "i2", "")
 	if r.StatusCode != 502 {
 		t.Errorf("one attempt may have run: status %d, want 502", r.StatusCode)
@@ -166,14 +171,14 @@
 // Guards against work that goes on after its caller has left.
 func TestCallerLeaving(t *testing.T) {
 	ended := make(chan struct{})
-	f := newFixture(t, func(_ *fakeTarget, c net.Conn, _ *http.Request) {
+	f := newFixture(t, func(_ *nettest.Target, c net.Conn, _ *http.Request) {
 		buffer := make([]byte, 1)
 		_, _ = c.Read(buffer) // returns when the gateway closes the connection
 		close(ended)
 	})
 	conn, _ := f.dial()
 	fmt.Fprint(conn, request("GET", "/safe/1", "i1", ""))
-	for len(f.targets[0].ids()) == 0 {
+	for len(ids(f.targets[0])) == 0 {
 		time.Sleep(time.Millisecond)
 	}
 	_ = conn.Close()
@@ -188,7 +193,7 @@
 func TestTimeLeftShrinks(t *testing.T) {
 	lefts := make(chan string, 2)
 	var seen atomic.Int32
-	script := func(target *fakeTarget, c net.Conn, r *http.Request) {
+	script := func(target *nettest.Target, c net.Conn, r *http.Request) {
 		lefts <- r.Header.Get("Left")
 		if seen.Add(1) == 1 {
 			time.Sleep(200 * time.Millisecond)
@@ -216,14 +221,14 @@
 		t.Errorf("%d downloads at once on 700 Mbit/s, want %d", n, maxDownloads)
 	}
 	release := make(chan struct{})
-	f := newFixture(t, func(target *fakeTarget, c net.Conn, r *http.Request) {
+	f := newFixture(t, func(target *nettest.Target, c net.Conn, r *http.Request) {
 		<-release
 		ok(target, c, r)
 	})
 	f.gateway.large = newDownloads(1)
 	conn, br := f.dial()
 	fmt.Fprint(conn, request("GET", "/download/1", "i1", ""))
-	for len(f.targets[0].ids()) == 0 {
+	for len(ids(f.targets[0])) == 0 {
 		time.Sleep(time.Millisecond)
 	}
 	if r, _ := f.do("GET", "/download/2", "i2", ""); r.StatusCode != 503 {
@@ -245,7 +250,7 @@
 		cold time.Duration
 		bad  uint16
 	}{{0, 1}, {time.Minute, 0}} {
-		f := newFixture(t, func(target *fakeTarget, conn net.Conn, r *http.Request) {
+		f := newFixture(t, func(target *nettest.Target, conn net.Conn, r *http.Request) {
 			time.Sleep(30 * time.Millisecond)
 			ok(target, conn, r)
 		})
@@ -277,7 +282,7 @@
 	d := &delivery{gateway: g, service: "s", tried: map[string]bool{}, exchange: x, deadline: g.now() - 1}
 	target, _ := g.view.targets.Find("t0")
 	last := d.attempt(&target, g.board.Of(evidence.Key{Name: "t0", Life: 1}))
-	if last.outcome != unreached || len(f.targets[0].ids()) != 0 {
+	if last.outcome != unreached || len(ids(f.targets[0])) != 0 {
 		t.Errorf("outcome %s", last.outcome)
 	}
 	if r := d.giveUp(last); r.status != http.StatusServiceUnavailable {
@@ -331,7 +336,7 @@
 	if refused["safe"] < 15 || refused["unsafe"] != 0 {
 		t.Errorf("refused of 50 each: %v", refused)
 	}
-	if n := len(f.targets[0].ids()); n != 100-refused["safe"] {
+	if n := len(ids(f.targets[0])); n != 100-refused["safe"] {
 		t.Errorf("the target read %d requests, %d were refused", n, refused["safe"])
 	}
 }
@@ -349,7 +354,7 @@
 			t.Errorf("request %d was answered %d", i, r.StatusCode)
 		}
 	}
-	if first, second := len(f.targets[busy].ids()), len(f.targets[1-busy].ids()); second == 0 || first == 0 {
+	if first, second := len(ids(f.targets[busy])), len(ids(f.targets[1-busy])); second == 0 || first == 0 {
 		t.Errorf("the busy target read %d requests, the other home %d", first, second)
 	}
 }
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -8,6 +8,7 @@
 	"sync"
 	"testing"
 
+	"github.com/hornbeamstack/hornbeamstack/internal/nettest"
 	"github.com/hornbeamstack/hornbeamstack/pkg/policy"
 )
 
@@ -32,7 +33,7 @@
 		for _, kind := range []policy.Kind{policy.Safe, policy.Unsafe, policy.Download} {
 			t.Run(name+" "+kind.String(), func(t *testing.T) {
 				closed := make(chan bool, 4)
-				endless := func(_ *fakeTarget, conn net.Conn, r *http.Request) {
+				endless := func(_ *nettest.Target, conn net.Conn, r *http.Request) {
 					fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\n%s\r\n", r.Header.Get("Id"), c.head)
 					stream(conn, c.part, closed)
 				}
@@ -62,9 +63,9 @@
 	var mu sync.Mutex
 	requests := map[net.Conn]int{}
 	first := "" // home of the object
-	script := func(target *fakeTarget, conn net.Conn, r *http.Request) {
+	script := func(target *nettest.Target, conn net.Conn, r *http.Request) {
 		mu.Lock()
-		refuses := target.name == first
+		refuses := target.Name == first
 		if refuses {
 			requests[conn]++
 		}
@@ -80,7 +81,7 @@
 	f := newFixture(t, script, script)
 	f.gateway.view.setPlace(f.gateway.now(), 0, 1) // the whole retry budget
 	mu.Lock()
-	first = f.targets[f.order(policy.Unsafe)[0]].name
+	first = f.targets[f.order(policy.Unsafe)[0]].Name
 	mu.Unlock()
 	for i := range 3 {
 		if r, body := f.do("POST", "/unsafe/x", fmt.Sprint(i), "b"); r.StatusCode != http.StatusOK {
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -9,13 +9,13 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
 	"github.com/charmbracelet/log"
 
 	"github.com/hornbeamstack/hornbeamstack/internal/hop"
+	"github.com/hornbeamstack/hornbeamstack/internal/nettest"
 	"github.com/hornbeamstack/hornbeamstack/internal/peer"
 	"github.com/hornbeamstack/hornbeamstack/pkg/policy"
 	"github.com/hornbeamstack/hornbeamstack/pkg/roster"
@@ -43,54 +43,18 @@
 }
 func (fakeCodec) Echo(h http.Header, id string) { h.Set("Id", id) }
 
-// fakeTarget answers each request by a script; it counts the requests it read.
-type fakeTarget struct {
-	name     string
-	listener net.Listener
-	script   func(t *fakeTarget, conn net.Conn, r *http.Request)
-
-	mu   sync.Mutex
-	read []string // ids
-	left chan string
-}
-
-func (t *fakeTarget) ids() []string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return append([]string(nil), t.read...)
-}
-
-func (t *fakeTarget) serve() {
-	for {
-		conn, err := t.listener.Accept()
-		if err != nil {
-			return
-		}
-		go func() {
-			defer conn.Close()
-			br := bufio.NewReader(conn)
-			for {
-				r, err := http.ReadRequest(br)
-				if err != nil {
-					return
-				}
-				body, err := io.ReadAll(r.Body)
-				if err != nil {
-					return
-				}
-				r.Header.Set("Body", string(body))
-				t.mu.Lock()
-				t.read = append(t.read, r.Header.Get("Id"))
-				t.mu.Unlock()
-				t.script(t, conn, r)
-			}
-		}()
+// ids returns the identifiers of the requests that a target has read.
+func ids(t *nettest.Target) []string {
+	var list []string
+	for _, r := range t.Requests() {
+		list = append(list, r.Header.Get("Id"))
 	}
+	return list
 }
 
 // ok answers with the name of the target.
-func ok(t *fakeTarget, conn net.Conn, r *http.Request) {
-	answer(conn, 200, r.Header.Get("Id"), t.name+":"+r.Header.Get("Body"))
+func ok(t *nettest.Target, conn net.Conn, r *http.Request) {
+	answer(conn, 200, r.Header.Get("Id"), t.Name+":"+r.Header.Get("Body"))
 }
 
 func answer(conn net.Conn, status int, id, body string, headers ...string) {
@@ -110,13 +74,13 @@
 	t       *testing.T
 	gateway *Gateway
 	front   string
-	targets []*fakeTarget
+	targets []*nettest.Target
 	cancel  context.CancelFunc
 }
 
 // newFixture starts a gateway with a target for each script. The object "a" has
 // the targets in the order that the table gives.
-func newFixture(t *testing.T, scripts ...func(*fakeTarget, net.Conn, *http.Request)) *fixture {
+func newFixture(t *testing.T, scripts ...nettest.Script) *fixture {
 	t.Helper()
 	g := New(Config{
 		Name: "g1", Zone: "z1", Region: "r1", Regions: map[string]string{"z1": "r1", "z2": "r2"},
@@ -133,16 +97,11 @@
 	g.view.setPolicy(p)
 	f := &fixture{t: t, gateway: g}
 	for i, script := range scripts {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		target := &fakeTarget{name: fmt.Sprint("t", i), listener: l, script: script, left: make(chan string, 10)}
-		go target.serve()
+		target := nettest.StartTarget(t, script)
+		target.Name = fmt.Sprint("t", i)
 		f.targets = append(f.targets, target)
 		g.view.targets.Note(g.now(), roster.Report{Announcement: roster.Announcement{
-			Name: target.name, Life: 1, Sequence: 1, Service: "s", Address: l.Addr().String(), Zone: "z1", Slots: 4}})
-		t.Cleanup(func() { _ = l.Close() })
+			Name: target.Name, Life: 1, Sequence: 1, Service: "s", Address: target.Address(), Zone: "z1", Slots: 4}})
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/gateway/relays_test.go
+++ b/internal/gateway/relays_test.go
@@ -14,6 +14,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/hornbeamstack/hornbeamstack/internal/fleet"
+	"github.com/hornbeamstack/hornbeamstack/internal/nettest"
 	"github.com/hornbeamstack/hornbeamstack/internal/relay"
 	"github.com/hornbeamstack/hornbeamstack/pkg/policy"
 )
@@ -98,7 +99,7 @@
 			if c.status == 200 && body != "t0:hello" {
 				t.Errorf("body %q", body)
 			}
-			if got := len(f.targets[0].ids()); got != c.reads {
+			if got := len(ids(f.targets[0])); got != c.reads {
 				t.Errorf("the target read %d requests, want %d", got, c.reads)
 			}
 		})
@@ -130,7 +131,7 @@
 // Guards against callers that set the headers between entry hosts and relays.
 func TestCallersCannotAddressRelays(t *testing.T) {
 	seen := make(chan http.Header, 1)
-	f := newFixture(t, func(s *fakeTarget, conn net.Conn, r *http.Request) {
+	f := newFixture(t, func(s *nettest.Target, conn net.Conn, r *http.Request) {
 		seen <- r.Header
 		ok(s, conn, r)
 	})
@@ -174,13 +175,13 @@
 // lost power has left behind: the host is back, and resets them.
 func TestRelayConnectionsEndWithTheirHost(t *testing.T) {
 	f := newFixture(t, ok)
-	line := newPowerLine(t, startRelay(t, true))
-	f.relayAt(line.address)
+	line := nettest.NewPowerLine(t, startRelay(t, true))
+	f.relayAt(line.Address())
 	if r, _ := f.do("POST", "/unsafe/x", "1", "hello"); r.StatusCode != 200 {
 		t.Fatalf("status %d before the loss of power", r.StatusCode)
 	}
-	line.fail()
-	f.relayAt(line.address)
+	line.Fail()
+	f.relayAt(line.Address())
 	w := f.gateway.watch
 	w.mu.Lock()
 	w.controls["c"].epoch++ // the host has answered again
--- a/internal/gateway/watch_loss_test.go
+++ b/internal/gateway/watch_loss_test.go
@@ -2,114 +2,16 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/hornbeamstack/hornbeamstack/internal/desired"
 	"github.com/hornbeamstack/hornbeamstack/internal/fleet"
+	"github.com/hornbeamstack/hornbeamstack/internal/nettest"
 	"github.com/hornbeamstack/hornbeamstack/pkg/policy"
 )
 
-// powerLine stands before a control host. After fail the connections that were
-// open belong to a host that has lost power and is back: what is sent on them
-// resets them, and nothing tells before. New connections work.
-type powerLine struct {
-	address string
-	target  string
-	mu      sync.Mutex
-	open    []*poweredConn
-}
-
-type poweredConn struct {
-	client *net.TCPConn
-	host   net.Conn
-	mu     sync.Mutex
-	lost   bool
-}
-
-func newPowerLine(t *testing.T, target string) *powerLine {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	p := &powerLine{address: l.Addr().String(), target: target}
-	var wg sync.WaitGroup
-	wg.Go(func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			wg.Go(func() { p.carry(t, conn.(*net.TCPConn)) })
-		}
-	})
-	t.Cleanup(func() {
-		_ = l.Close()
-		p.mu.Lock()
-		for _, c := range p.open {
-			_, _ = c.client.Close(), c.host.Close()
-		}
-		p.mu.Unlock()
-		wg.Wait()
-	})
-	return p
-}
-
-func (p *powerLine) carry(t *testing.T, client *net.TCPConn) {
-	host, err := net.Dial("tcp", p.target)
-	if err != nil {
-		t.Error(err)
-		return
-	}
-	c := &poweredConn{client: client, host: host}
-	p.mu.Lock()
-	p.open = append(p.open, c)
-	p.mu.Unlock()
-	var wg sync.WaitGroup
-	wg.Go(func() { c.copy(client, host) })
-	c.copy(host, client)
-	wg.Wait()
-}
-
-// copy carries bytes until the connection is lost or closed.
-func (c *poweredConn) copy(to, from net.Conn) {
-	buf := make([]byte, 4<<10)
-	for {
-		n, err := from.Read(buf)
-		if c.isLost() && from == c.host {
-			return
-		}
-		if err != nil || c.isLost() {
-			_ = c.client.SetLinger(0) // a reset
-			_, _ = c.client.Close(), c.host.Close()
-			return
-		}
-		if _, err := to.Write(buf[:n]); err != nil {
-			return
-		}
-	}
-}
-
-func (c *poweredConn) isLost() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.lost
-}
-
-func (p *powerLine) fail() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range p.open {
-		c.mu.Lock()
-		c.lost = true
-		c.mu.Unlock()
-		_ = c.host.Close()
-	}
-}
-
 // newTestWatch returns the watch of an entry host with a clock of the test.
 func newTestWatch(t *testing.T, now *time.Duration, seeds ...string) *watch {
 	t.Helper()
@@ -129,11 +31,11 @@
 		defer mu.Unlock()
 		return fleet.PullReply{Fresh: true, Document: &desired.Document{Version: version, Body: []byte{byte(version)}}}
 	}
-	var lines []*powerLine
+	var lines []*nettest.PowerLine
 	var seeds []string
 	for range 3 {
-		line := newPowerLine(t, newFakeControl(t, reply).address)
-		lines, seeds = append(lines, line), append(seeds, line.address)
+		line := nettest.NewPowerLine(t, newFakeControl(t, reply).address)
+		lines, seeds = append(lines, line), append(seeds, line.Address())
 	}
 	now := time.Second // stands still: what is set aside stays so
 	w := newTestWatch(t, &now, seeds...)
@@ -147,7 +49,7 @@
 		w.release(c)
 	}
 	for _, line := range lines {
-		line.fail()
+		line.Fail()
 	}
 	mu.Lock()
 	version = 2
--- a/internal/hop/pool_test.go
+++ b/internal/hop/pool_test.go
@@ -1,12 +1,13 @@
 package hop
 
 import (
-	"bufio"
 	"fmt"
 	"net"
 	"net/http"
 	"testing"
 	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/nettest"
 )
 
 // plainCodec reads no headers but the id.
@@ -21,31 +22,9 @@
 // listen starts a target that answers every request.
 func listen(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				br := bufio.NewReader(conn)
-				for {
-					r, err := http.ReadRequest(br)
-					if err != nil {
-						return
-					}
-					fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Id"))
-				}
-			}()
-		}
-	}()
-	return l.Addr().String()
+	return nettest.StartTarget(t, func(_ *nettest.Target, conn net.Conn, r *http.Request) {
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Id"))
+	}).Address()
 }
 
 // use sends a request on a new connection and returns it after the answer.
--- a/internal/loopback/loopback.go
+++ b/internal/nettest/listen.go
@@ -1,5 +1,4 @@
-// Package loopback gives tests addresses that they can close and bind again.
-package loopback
+package nettest
 
 import (
 	"fmt"
--- /dev/null
+++ b/internal/nettest/powerline.go
@@ -0,0 +1,107 @@
+package nettest
+
+import (
+	"net"
+	"sync"
+	"testing"
+)
+
+// PowerLine stands before a host. After Fail the connections that were
+// open belong to a host that has lost power and is back: what is sent on them
+// resets them, and nothing tells before. New connections work.
+type PowerLine struct {
+	address string
+	target  string
+	mu      sync.Mutex
+	open    []*poweredConn
+}
+
+type poweredConn struct {
+	client *net.TCPConn
+	host   net.Conn
+	mu     sync.Mutex
+	lost   bool
+}
+
+// NewPowerLine carries connections to target until the test ends.
+func NewPowerLine(t testing.TB, target string) *PowerLine {
+	t.Helper()
+	l := Listen(t)
+	p := &PowerLine{address: l.Addr().String(), target: target}
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			wg.Go(func() { p.carry(t, conn.(*net.TCPConn)) })
+		}
+	})
+	t.Cleanup(func() {
+		_ = l.Close()
+		p.mu.Lock()
+		for _, c := range p.open {
+			_, _ = c.client.Close(), c.host.Close()
+		}
+		p.mu.Unlock()
+		wg.Wait()
+	})
+	return p
+}
+
+// Address is where callers reach the host.
+func (p *PowerLine) Address() string { return p.address }
+
+func (p *PowerLine) carry(t testing.TB, client *net.TCPConn) {
+	host, err := net.Dial("tcp", p.target)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	c := &poweredConn{client: client, host: host}
+	p.mu.Lock()
+	p.open = append(p.open, c)
+	p.mu.Unlock()
+	var wg sync.WaitGroup
+	wg.Go(func() { c.copy(client, host) })
+	c.copy(host, client)
+	wg.Wait()
+}
+
+// copy carries bytes until the connection is lost or closed.
+func (c *poweredConn) copy(to, from net.Conn) {
+	buf := make([]byte, 4<<10)
+	for {
+		n, err := from.Read(buf)
+		if c.isLost() && from == c.host {
+			return
+		}
+		if err != nil || c.isLost() {
+			_ = c.client.SetLinger(0) // a reset
+			_, _ = c.client.Close(), c.host.Close()
+			return
+		}
+		if _, err := to.Write(buf[:n]); err != nil {
+			return
+		}
+	}
+}
+
+func (c *poweredConn) isLost() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lost
+}
+
+// Fail takes the power from the host and gives it back.
+func (p *PowerLine) Fail() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.open {
+		c.mu.Lock()
+		c.lost = true
+		c.mu.Unlock()
+		_ = c.host.Close()
+	}
+}
--- /dev/null
+++ b/internal/nettest/target.go
@@ -0,0 +1,97 @@
+package nettest
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+)
+
+// Script answers a request on its connection. The request's body is in the header "Body".
+type Script func(t *Target, conn net.Conn, r *http.Request)
+
+// Target is a target that answers each request by a script.
+type Target struct {
+	Name     string // not used by the target itself
+	Script   Script // not to be changed after the first request
+	listener net.Listener
+	gone     chan struct{}
+
+	mu       sync.Mutex
+	requests []*http.Request
+	accepted int
+}
+
+// StartTarget starts a target that runs until the test ends.
+func StartTarget(t testing.TB, script Script) *Target {
+	t.Helper()
+	target := &Target{Script: script, listener: Listen(t), gone: make(chan struct{}, 1)}
+	t.Cleanup(target.Close)
+	go target.accept()
+	return target
+}
+
+// Address is where the target takes connections.
+func (t *Target) Address() string { return t.listener.Addr().String() }
+
+// Close takes no more connections; open ones go on.
+func (t *Target) Close() { _ = t.listener.Close() }
+
+// Requests returns what was read so far.
+func (t *Target) Requests() []*http.Request {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.requests)
+}
+
+// Accepted is the number of connections so far.
+func (t *Target) Accepted() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.accepted
+}
+
+// Gone tells when a connection has ended since the last time it did.
+func (t *Target) Gone() <-chan struct{} { return t.gone }
+
+func (t *Target) accept() {
+	for {
+		conn, err := t.listener.Accept()
+		if err != nil {
+			return
+		}
+		t.mu.Lock()
+		t.accepted++
+		t.mu.Unlock()
+		go t.serve(conn)
+	}
+}
+
+func (t *Target) serve(conn net.Conn) {
+	defer func() {
+		_ = conn.Close()
+		select {
+		case t.gone <- struct{}{}:
+		default:
+		}
+	}()
+	br := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		r.Header.Set("Body", string(body))
+		t.mu.Lock()
+		t.requests = append(t.requests, r)
+		t.mu.Unlock()
+		t.Script(t, conn, r)
+	}
+}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -9,8 +9,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,6 +17,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/hornbeamstack/hornbeamstack/internal/hop"
+	"github.com/hornbeamstack/hornbeamstack/internal/nettest"
 )
 
 // testCodec uses short header names of its own.
@@ -40,62 +39,8 @@
 func (testCodec) Refuse(http.Header, time.Duration) {}
 func (testCodec) Echo(h http.Header, id string)     { h.Set("Id", id) }
 
-// target is a scripted target that counts connections and requests.
-type target struct {
-	address string
-	conns   atomic.Int32
-	mu      sync.Mutex
-	read    []*http.Request
-	gone    chan struct{} // closed when a connection ends
-}
-
-func startTarget(t *testing.T, script func(conn net.Conn, r *http.Request)) *target {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	s := &target{address: l.Addr().String(), gone: make(chan struct{}, 100)}
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			s.conns.Add(1)
-			go func() {
-				defer func() { _ = conn.Close(); s.gone <- struct{}{} }()
-				br := bufio.NewReader(conn)
-				for {
-					r, err := http.ReadRequest(br)
-					if err != nil {
-						return
-					}
-					body, err := io.ReadAll(r.Body)
-					if err != nil {
-						return
-					}
-					r.Header.Set("Body", string(body))
-					s.mu.Lock()
-					s.read = append(s.read, r)
-					s.mu.Unlock()
-					script(conn, r)
-				}
-			}()
-		}
-	}()
-	return s
-}
-
-func (s *target) requests() []*http.Request {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return append([]*http.Request(nil), s.read...)
-}
-
 // echo answers with the body of the request.
-func echo(conn net.Conn, r *http.Request) {
+func echo(_ *nettest.Target, conn net.Conn, r *http.Request) {
 	body := r.Header.Get("Body")
 	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", r.Header.Get("Id"), len(body), body)
 }
@@ -156,21 +101,21 @@
 // headers between own processes that reach the target.
 func TestEntryHostsShareConnections(t *testing.T) {
 	_, address := startRelay(t)
-	s := startTarget(t, echo)
+	s := nettest.StartTarget(t, echo)
 	for i := range 4 {
 		e := dialRelay(t, address)
 		for j := range 3 {
 			id := fmt.Sprint(i, ".", j)
-			e.send(id, "t", s.address, "body"+id, time.Second, HeaderRate+": 1000000\r\n", HeaderBulk+": 1\r\n", HeaderRepeatable+": 1\r\n")
+			e.send(id, "t", s.Address(), "body"+id, time.Second, HeaderRate+": 1000000\r\n", HeaderBulk+": 1\r\n", HeaderRepeatable+": 1\r\n")
 			if r, body := e.read(); r.StatusCode != 200 || body != "body"+id || r.Header.Get("Id") != id {
 				t.Fatalf("request %s got %d %q", id, r.StatusCode, body)
 			}
 		}
 	}
-	if n := s.conns.Load(); n != 1 {
+	if n := s.Accepted(); n != 1 {
 		t.Errorf("%d connections to the target, want 1", n)
 	}
-	for _, r := range s.requests() {
+	for _, r := range s.Requests() {
 		for _, name := range []string{HeaderTarget, HeaderAddress, HeaderRepeatable, HeaderRate, HeaderBulk} {
 			if r.Header.Get(name) != "" {
 				t.Errorf("the target received header %s", name)
@@ -195,7 +140,7 @@
 		name    string
 		target  string
 		address string // of the scripted target if empty
-		script  func(net.Conn, *http.Request)
+		script  nettest.Script
 		left    time.Duration
 		want    Outcome
 		read    int // requests that the target read
@@ -203,19 +148,19 @@
 		{"an unknown target is sent nothing", "other", "", echo, time.Second, Busy, 0},
 		{"no time left", "t", "", echo, 0, Busy, 0},
 		{"nobody listens", "t", nobody, echo, time.Second, Unreached, 0},
-		{"the target closes without an answer", "t", "", func(c net.Conn, _ *http.Request) { _ = c.Close() }, time.Second, Broken, 1},
-		{"the target answers another request", "t", "", func(c net.Conn, _ *http.Request) {
+		{"the target closes without an answer", "t", "", func(_ *nettest.Target, c net.Conn, _ *http.Request) { _ = c.Close() }, time.Second, Broken, 1},
+		{"the target answers another request", "t", "", func(_ *nettest.Target, c net.Conn, _ *http.Request) {
 			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 0\r\n\r\n")
 			_ = c.Close()
 		}, time.Second, Broken, 1},
-		{"the target sends no answer in time", "t", "", func(net.Conn, *http.Request) {}, 50 * time.Millisecond, TimedOut, 1},
+		{"the target sends no answer in time", "t", "", func(*nettest.Target, net.Conn, *http.Request) {}, 50 * time.Millisecond, TimedOut, 1},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			_, address := startRelay(t)
-			s := startTarget(t, c.script)
+			s := nettest.StartTarget(t, c.script)
 			if c.address == "" {
-				c.address = s.address
+				c.address = s.Address()
 			}
 			e := dialRelay(t, address)
 			e.send("1", c.target, c.address, "", c.left)
@@ -223,10 +168,10 @@
 			if got := Outcome(r.Header.Get(HeaderOutcome)); got != c.want || r.Header.Get("Id") != "1" {
 				t.Errorf("outcome %q for id %q, want %q", got, r.Header.Get("Id"), c.want)
 			}
-			if n := len(s.requests()); n != c.read {
+			if n := len(s.Requests()); n != c.read {
 				t.Errorf("the target read %d requests, want %d", n, c.read)
 			}
-			e.send("2", "other", s.address, "", time.Second)
+			e.send("2", "other", s.Address(), "", time.Second)
 			if r, _ := e.read(); r.Header.Get("Id") != "2" {
 				t.Error("the connection cannot be used again")
 			}
@@ -345,14 +290,14 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			_, address := startRelay(t)
-			s := startTarget(t, func(conn net.Conn, r *http.Request) {
+			s := nettest.StartTarget(t, func(_ *nettest.Target, conn net.Conn, r *http.Request) {
 				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\n%s", r.Header.Get("Id"), c.answer)
 				if c.close {
 					_ = conn.Close()
 				}
 			})
 			e := dialRelay(t, address)
-			e.send("1", "t", s.address, "", 5*time.Second, HeaderRate+": 100000000\r\n", HeaderBulk+": 1\r\n")
+			e.send("1", "t", s.Address(), "", 5*time.Second, HeaderRate+": 100000000\r\n", HeaderBulk+": 1\r\n")
 			r, body := e.read()
 			if body != c.want || r.Header.Get(HeaderOutcome) != "" {
 				t.Errorf("body of %d bytes, outcome %q, want %d bytes", len(body), r.Header.Get(HeaderOutcome), len(c.want))
@@ -365,25 +310,25 @@
 func TestEntryHostLeaves(t *testing.T) {
 	_, address := startRelay(t)
 	begun := make(chan struct{})
-	s := startTarget(t, func(net.Conn, *http.Request) { close(begun) })
+	s := nettest.StartTarget(t, func(*nettest.Target, net.Conn, *http.Request) { close(begun) })
 	e := dialRelay(t, address)
-	e.send("1", "t", s.address, "", 30*time.Second)
+	e.send("1", "t", s.Address(), "", 30*time.Second)
 	<-begun
 	_ = e.conn.Close()
-	<-s.gone
+	<-s.Gone()
 }
 
 // Guards against stops that cut requests off or take new ones.
 func TestStop(t *testing.T) {
 	relay, address := startRelay(t)
 	begun, release := make(chan struct{}), make(chan struct{})
-	s := startTarget(t, func(conn net.Conn, r *http.Request) {
+	s := nettest.StartTarget(t, func(s *nettest.Target, conn net.Conn, r *http.Request) {
 		close(begun)
 		<-release
-		echo(conn, r)
+		echo(s, conn, r)
 	})
 	e := dialRelay(t, address)
-	e.send("1", "t", s.address, "body", 30*time.Second)
+	e.send("1", "t", s.Address(), "body", 30*time.Second)
 	<-begun
 	stopped := make(chan struct{})
 	go func() { relay.Stop(30 * time.Second); close(stopped) }()
@@ -391,7 +336,7 @@
 		time.Sleep(time.Millisecond)
 	}
 	other := dialRelay(t, address)
-	other.send("2", "t", s.address, "", time.Second)
+	other.send("2", "t", s.Address(), "", time.Second)
 	if r, _ := other.read(); Outcome(r.Header.Get(HeaderOutcome)) != Busy {
 		t.Errorf("a stopping relay answered %v", r.Header)
 	}
--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -14,7 +14,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/hornbeamstack/hornbeamstack/internal/loopback"
+	"github.com/hornbeamstack/hornbeamstack/internal/nettest"
 	"github.com/hornbeamstack/hornbeamstack/internal/peer"
 	"github.com/hornbeamstack/hornbeamstack/pkg/wal"
 )
@@ -82,7 +82,7 @@
 	c := &cluster{t: t, hosts: map[string]*host{}, files: map[string]wal.Files{}}
 	folder := t.TempDir()
 	for _, name := range names {
-		l := loopback.Listen(t)
+		l := nettest.Listen(t)
 		defer func() { _ = l.Close() }() // start binds the address again
 		c.members = append(c.members, Member{Name: name, Peer: l.Addr().String()})
 		c.hosts[name] = &host{name: name, folder: filepath.Join(folder, name)}
--- a/internal/zone/cluster_test.go
+++ b/internal/zone/cluster_test.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
-	"github.com/hornbeamstack/hornbeamstack/internal/loopback"
+	"github.com/hornbeamstack/hornbeamstack/internal/nettest"
 	"github.com/hornbeamstack/hornbeamstack/internal/peer"
 	"github.com/hornbeamstack/hornbeamstack/pkg/bundle"
 	"github.com/hornbeamstack/hornbeamstack/pkg/slots"
@@ -49,7 +49,7 @@
 	for _, az := range zones {
 		for i := range perZone {
 			h := &testHost{name: fmt.Sprintf("%s%d", az, i), az: az}
-			l := loopback.Listen(t)
+			l := nettest.Listen(t)
 			h.listener, h.addr = l, l.Addr().String()
 			c.hosts[h.name] = h
 		}
