Do not use connections to an earlier start of a target

What callers saw: 502 for a request that may not be repeated, sent on a connection that an entry host or a relay kept to a target whose host lost power and started it again.

The endpoint of a target holds its life, which each announcement names; relays learn it from the roster of their control host, which told them only whether the target is known.

TestTargetConnectionsEndWithTheirTarget in gateway and in relay failed before (status 502). TestRelayConnectionsEndWithTheirHost waits until the connection is kept, without which it guarded nothing when the keeping came late.

--- a/internal/core/announce.go
+++ b/internal/core/announce.go
@@ -45,10 +45,11 @@
 	return n.depart(ctx, desired.Departure{Name: name, Life: life})
 }
 
-// TargetAt reports whether a target announced itself at an address.
-func (n *Node) TargetAt(name, address string) bool {
+// TargetAt returns the present life of a target, and whether it announced itself
+// at an address.
+func (n *Node) TargetAt(name, address string) (roster.Life, bool) {
 	t, ok := n.targets.Find(name)
-	return ok && t.Address == address
+	return t.Life, ok && t.Address == address
 }
 
 func (n *Node) depart(ctx context.Context, d desired.Departure) error {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -64,18 +64,23 @@
 	return d.sendTimed(u, t, e)
 }
 
+// endpoint is where a target takes connections in its present life.
+func endpoint(t *roster.Target) hop.Endpoint {
+	return hop.Endpoint{Address: t.Address, Start: int64(t.Life)}
+}
+
 // connect takes a kept connection to the target or opens one; the attempt says
 // why there is none.
 func (d *delivery) connect(t *roster.Target, e *evidence.Target) (*hop.Conn, attempt) {
 	g := d.gateway
-	if u := g.pool.Get(hop.Endpoint{Address: t.Address}, d.exchange.route.Kind.Idempotent()); u != nil {
+	if u := g.pool.Get(endpoint(t), d.exchange.route.Kind.Idempotent()); u != nil {
 		return u, attempt{}
 	}
 	limit := min(hop.DialTimeout, d.deadline-g.now())
 	if limit <= 0 {
 		return nil, attempt{outcome: unreached, err: errNoTimeLeft}
 	}
-	u, err := g.pool.Dial(hop.Endpoint{Address: t.Address}, limit)
+	u, err := g.pool.Dial(endpoint(t), limit)
 	if err != nil {
 		if countsAgainstTarget(limit, err) {
 			e.Unreachable(g.now())
--- a/internal/gateway/delivery_test.go
+++ b/internal/gateway/delivery_test.go
@@ -374,3 +374,25 @@
 		t.Errorf("%d connections to the target for requests that came one after the other", n)
 	}
 }
+
+// Guards against requests that are lost on connections which a target's host that
+// lost power has left behind: the target has started again and its host resets them.
+func TestTargetConnectionsEndWithTheirTarget(t *testing.T) {
+	f := newFixture(t, ok)
+	target := f.targets[0]
+	line := nettest.NewPowerLine(t, target.Address())
+	start := func(life roster.Life) {
+		f.gateway.view.targets.Note(f.gateway.now(), roster.Report{Announcement: roster.Announcement{
+			Name: target.Name, Life: life, Sequence: 1, Service: "s", Address: line.Address(), Zone: "z1", Slots: 4}})
+	}
+	start(2)
+	if r, _ := f.do("POST", "/unsafe/x", "1", ""); r.StatusCode != 200 {
+		t.Fatalf("status %d before the loss of power", r.StatusCode)
+	}
+	f.awaitKept(1)
+	line.Fail()
+	start(3)
+	if r, body := f.do("POST", "/unsafe/x", "2", ""); r.StatusCode != 200 {
+		t.Errorf("status %d with body %q after the target's new start", r.StatusCode, body)
+	}
+}
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -152,6 +152,13 @@
 	return r, string(body)
 }
 
+// awaitKept waits until the gateway keeps n idle connections to targets and relays.
+func (f *fixture) awaitKept(n int) {
+	for f.gateway.pool.Size() < n {
+		time.Sleep(time.Millisecond) // the test's own time limit ends a wait without end
+	}
+}
+
 // order returns the indexes of the targets in the order of object "a" on a route.
 func (f *fixture) order(kind policy.Kind) []int {
 	f.t.Helper()
--- a/internal/gateway/relays_test.go
+++ b/internal/gateway/relays_test.go
@@ -17,6 +17,7 @@
 	"github.com/hornbeamstack/hornbeamstack/internal/nettest"
 	"github.com/hornbeamstack/hornbeamstack/internal/relay"
 	"github.com/hornbeamstack/hornbeamstack/pkg/policy"
+	"github.com/hornbeamstack/hornbeamstack/pkg/roster"
 )
 
 // relayAt makes the gateway believe in a relay of its zone at an address.
@@ -30,7 +31,7 @@
 // startRelay starts a real relay; known says whether it knows the targets.
 func startRelay(t *testing.T, known bool) string {
 	t.Helper()
-	s := relay.New(relay.Config{Codec: fakeCodec{}, MostIdle: 100, Known: func(string, string) bool { return known },
+	s := relay.New(relay.Config{Codec: fakeCodec{}, MostIdle: 100, Find: func(string, string) (roster.Life, bool) { return 1, known },
 		Metrics: metrics.NewRegistry(), Log: log.New(io.Discard)})
 	return listen(t, func(ctx context.Context, l net.Listener) { s.Serve(ctx, l) })
 }
@@ -177,16 +178,17 @@
 	f := newFixture(t, ok)
 	line := nettest.NewPowerLine(t, startRelay(t, true))
 	f.relayAt(line.Address())
-	if r, _ := f.do("POST", "/unsafe/x", "1", "hello"); r.StatusCode != 200 {
+	if r, _ := f.do("POST", "/unsafe/x", "1", ""); r.StatusCode != 200 {
 		t.Fatalf("status %d before the loss of power", r.StatusCode)
 	}
+	f.awaitKept(1)
 	line.Fail()
 	f.relayAt(line.Address())
 	w := f.gateway.watch
 	w.mu.Lock()
 	w.controls["c"].epoch++ // the host has answered again
 	w.mu.Unlock()
-	if r, body := f.do("POST", "/unsafe/x", "2", "hello"); r.StatusCode != 200 {
+	if r, body := f.do("POST", "/unsafe/x", "2", ""); r.StatusCode != 200 {
 		t.Errorf("status %d with body %q after the return of the relay", r.StatusCode, body)
 	}
 }
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -5,6 +5,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/hornbeamstack/hornbeamstack/internal/hop"
+	"github.com/hornbeamstack/hornbeamstack/pkg/roster"
 )
 
 // Config describes a relay.
@@ -12,8 +13,9 @@
 	Codec hop.Codec
 	// MostIdle bounds the kept connections to targets.
 	MostIdle int
-	// Known reports whether a target is at an address; a relay sends nowhere else.
-	Known   func(target, address string) bool
+	// Find returns the present life of a target, and whether it is at the address;
+	// a relay sends nowhere else.
+	Find    func(target, address string) (roster.Life, bool)
 	Metrics metrics.Registry
 	Log     *log.Logger
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -49,18 +49,20 @@
 		return x.report(Busy, nil)
 	}
 	defer s.end()
-	if !s.config.Known(x.target, x.address) || x.left() <= 0 {
+	life, known := s.config.Find(x.target, x.address)
+	if !known || x.left() <= 0 {
 		return x.report(Busy, nil)
 	}
+	to := hop.Endpoint{Address: x.address, Start: int64(life)}
 	ctx, cancel := context.WithTimeout(ctx, x.left())
 	defer cancel()
-	u, outcome, err := x.connect()
+	u, outcome, err := x.connect(to)
 	if err != nil {
 		return x.report(outcome, err)
 	}
 	stop := context.AfterFunc(ctx, u.Close)
 	defer stop()
-	r, outcome := x.send(ctx, u)
+	r, outcome := x.send(ctx, u, to)
 	if r.Err != nil {
 		u.Abort()
 		return x.report(outcome, r.Err)
@@ -88,12 +90,12 @@
 
 // connect takes a kept connection to the target or opens one. The outcome says
 // why there is none; nothing was sent then.
-func (x *exchange) connect() (*hop.Conn, Outcome, error) {
+func (x *exchange) connect(to hop.Endpoint) (*hop.Conn, Outcome, error) {
 	s := x.session.server
 	if s.silences.holds(s.now(), x.address) {
 		return nil, Unreached, errSilent
 	}
-	if u := s.pool.Get(hop.Endpoint{Address: x.address}, x.repeatable); u != nil {
+	if u := s.pool.Get(to, x.repeatable); u != nil {
 		return u, "", nil
 	}
 	limit := min(hop.DialTimeout, x.left()-reportMargin)
@@ -101,7 +103,7 @@
 		return nil, Busy, context.DeadlineExceeded
 	}
 	s.count("relay.dials")
-	u, err := s.pool.Dial(hop.Endpoint{Address: x.address}, limit)
+	u, err := s.pool.Dial(to, limit)
 	if err == nil {
 		s.silences.answered(x.address)
 		return u, "", nil
@@ -116,7 +118,7 @@
 }
 
 // send writes the request and waits for the head of the answer.
-func (x *exchange) send(ctx context.Context, u *hop.Conn) (hop.Result, Outcome) {
+func (x *exchange) send(ctx context.Context, u *hop.Conn, to hop.Endpoint) (hop.Result, Outcome) {
 	forwarded := &http.Request{Method: x.request.Method, URL: x.request.URL, RequestURI: x.request.RequestURI,
 		Host: x.request.Host, Header: hop.PassedOn(x.request.Header)}
 	Strip(forwarded.Header)
@@ -140,7 +142,7 @@
 			// it would lose what is sent on them, too.
 			s := x.session.server
 			s.silences.failed(s.now(), x.address)
-			s.pool.Forget(hop.Endpoint{Address: x.address})
+			s.pool.Forget(to)
 		}
 		return r, outcomeOf(ctx)
 	case <-ctx.Done():
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,6 +19,7 @@
 
 	"github.com/hornbeamstack/hornbeamstack/internal/hop"
 	"github.com/hornbeamstack/hornbeamstack/internal/nettest"
+	"github.com/hornbeamstack/hornbeamstack/pkg/roster"
 )
 
 // testCodec uses short header names of its own.
@@ -48,16 +50,18 @@
 // startRelay starts a relay that knows the target "t" at any address but "nowhere".
 func startRelay(t *testing.T) (*Server, string) {
 	t.Helper()
-	s := New(Config{Codec: testCodec{}, MostIdle: 100, Known: func(name, _ string) bool { return name == "t" },
-		Metrics: metrics.NewRegistry(), Log: log.New(io.Discard)})
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	s := New(Config{Codec: testCodec{}, MostIdle: 100, Find: func(name, _ string) (roster.Life, bool) {
+		return 1, name == "t"
+	}, Metrics: metrics.NewRegistry(), Log: log.New(io.Discard)})
+	return s, listen(t, s)
+}
+
+func listen(t *testing.T, s *Server) string {
+	l := nettest.Listen(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go s.Serve(ctx, l)
-	return s, l.Addr().String()
+	return l.Addr().String()
 }
 
 // entry is a connection of an entry host.
@@ -377,3 +381,27 @@
 		t.Errorf("%d pacers are kept, want the one in use", len(p.hosts))
 	}
 }
+
+// Guards against requests that are lost on connections which a target's host that
+// lost power has left behind: the target has started again and its host resets them.
+func TestTargetConnectionsEndWithTheirTarget(t *testing.T) {
+	var life atomic.Int64
+	s := New(Config{Codec: testCodec{}, MostIdle: 100, Find: func(string, string) (roster.Life, bool) {
+		return roster.Life(life.Load()), true
+	}, Metrics: metrics.NewRegistry(), Log: log.New(io.Discard)})
+	e := dialRelay(t, listen(t, s))
+	line := nettest.NewPowerLine(t, nettest.StartTarget(t, echo).Address())
+	e.send("1", "t", line.Address(), "body", time.Second)
+	if r, _ := e.read(); r.StatusCode != 200 {
+		t.Fatalf("status %d before the loss of power", r.StatusCode)
+	}
+	for s.pool.Size() == 0 {
+		time.Sleep(time.Millisecond) // the test's own time limit ends a wait without end
+	}
+	line.Fail()
+	life.Add(1)
+	e.send("2", "t", line.Address(), "body", time.Second)
+	if r, _ := e.read(); r.StatusCode != 200 {
+		t.Errorf("status %d after the target's new start", r.StatusCode)
+	}
+}
