Send requests that may not be repeated to a quiet relay on a new connection

What callers saw: 502 for requests that may not be repeated and that were sent on kept connections to a relay in the 0.9 s between its host's loss of power and the end of its use.

Cause: nothing shows that the host behind a kept connection is there.

Change: 100 ms after the last answer of a relay or of its control host, such a request opens a new connection. If the host is gone that fails before a byte of the request is sent, and the request goes to the target itself. Where requests are frequent a relay answers several times in that time.

Ruled out: a new connection for each such request, which costs a round trip each time; trusting kept connections until the host is known to be silent, which is what was there.

TestQuietRelayIsProvedByANewConnection failed before (status 502).

--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -19,6 +19,10 @@
 	// relayLost is the silence after which the requests that it holds are sent
 	// again, as far as they may be.
 	relayLost = pullWait + 1100*time.Millisecond
+	// relayProven is how long after its last answer a relay is taken to be there.
+	// Then a request that may not be repeated goes on a new connection, since it
+	// would be lost on a kept one if the relay's host has lost power.
+	relayProven = 100 * time.Millisecond
 	// relayDialTimeout bounds the opening of a connection inside the region. The
 	// own link may be full of answers meanwhile.
 	relayDialTimeout = hop.DialTimeout
@@ -37,11 +41,12 @@
 
 	mu      sync.Mutex
 	shunned map[string]time.Duration // relays that are not to be used before
+	heard   map[string]time.Duration // last answer of each relay
 	holds   map[*hop.Conn]bool       // at work with requests that may be repeated
 }
 
 func newRelays(w *watch, p *hop.Pool, linkRate float64) *relays {
-	r := &relays{watch: w, pool: p, shunned: map[string]time.Duration{}, holds: map[*hop.Conn]bool{}}
+	r := &relays{watch: w, pool: p, shunned: map[string]time.Duration{}, heard: map[string]time.Duration{}, holds: map[*hop.Conn]bool{}}
 	if linkRate > 0 {
 		r.rate = strconv.FormatFloat(linkRate*linkUse, 'f', 0, 64)
 	}
@@ -54,7 +59,10 @@
 	if relay.Address == "" || r.shuns(now, relay.Address) {
 		return nil
 	}
-	u := r.pool.Get(relay, repeatable)
+	var u *hop.Conn
+	if repeatable || r.proven(now, relay.Address) {
+		u = r.pool.Get(relay, repeatable)
+	}
 	if u == nil {
 		var err error
 		if u, err = r.pool.Dial(relay, relayDialTimeout); err != nil {
@@ -65,6 +73,21 @@
 	return u
 }
 
+// answered notes that a relay has answered.
+func (r *relays) answered(now time.Duration, address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.heard[address] = now
+}
+
+// proven reports whether a relay or its host has answered just now.
+func (r *relays) proven(now time.Duration, address string) bool {
+	r.mu.Lock()
+	heard, ok := r.heard[address]
+	r.mu.Unlock()
+	return ok && now-heard < relayProven || r.watch.relaySilent(address) < relayProven
+}
+
 // unreached notes that no connection to the relay could be opened. A time-out
 // may come from the own link, so only a refusal keeps other requests away.
 func (r *relays) unreached(now time.Duration, address string, err error) {
--- a/internal/gateway/relays_test.go
+++ b/internal/gateway/relays_test.go
@@ -192,3 +192,20 @@
 		t.Errorf("status %d with body %q after the return of the relay", r.StatusCode, body)
 	}
 }
+
+// Guards against requests that are lost on kept connections to a relay whose host
+// has just lost power, before its silence is noticed.
+func TestQuietRelayIsProvedByANewConnection(t *testing.T) {
+	f := newFixture(t, ok)
+	line := nettest.NewPowerLine(t, startRelay(t, true))
+	f.relayAt(line.Address())
+	if r, _ := f.do("POST", "/unsafe/x", "1", ""); r.StatusCode != 200 {
+		t.Fatalf("status %d before the loss of power", r.StatusCode)
+	}
+	f.awaitKept(1)
+	line.Fail()
+	time.Sleep(relayProven + time.Millisecond)
+	if r, body := f.do("POST", "/unsafe/x", "2", ""); r.StatusCode != 200 {
+		t.Errorf("status %d with body %q after the loss of power", r.StatusCode, body)
+	}
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -123,6 +123,7 @@
 		u.Abort()
 		return attempt{outcome: broken, err: r.Err, relayLost: true}, true
 	}
+	d.gateway.relays.answered(now, u.Address())
 	outcome := relay.Outcome(r.Response.Header.Get(relay.HeaderOutcome))
 	if outcome == "" {
 		return attempt{}, false
