--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"net/http"
 	"strconv"
 	"sync"
@@ -20,8 +21,8 @@
 	// again, as far as they may be.
 	relayLost = pullWait + 1100*time.Millisecond
 	// relayProven is how long after its last answer a relay is taken to be there.
-	// Then a request that may not be repeated goes on a new connection, since it
-	// would be lost on a kept one if the relay's host has lost power.
+	// Later, a request that may not be repeated goes on a new connection, since a
+	// kept one would lose it if the relay's host had lost power.
 	relayProven = 100 * time.Millisecond
 	// relayDialTimeout bounds the opening of a connection inside the region. The
 	// own link may be full of answers meanwhile.
@@ -129,8 +130,10 @@
 // check ends the connections of relays whose hosts are silent, so that what they
 // carried is sent again.
 func (r *relays) check() {
+	now := r.watch.now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	maps.DeleteFunc(r.heard, func(_ string, at time.Duration) bool { return now-at >= relayProven })
 	for u := range r.holds {
 		if r.watch.relaySilent(u.Address()) >= relayLost {
 			u.Close()
