--- a/internal/gateway/relays_test.go
+++ b/internal/gateway/relays_test.go
@@ -172,18 +172,25 @@
 	}
 }
 
-// Guards against requests that are lost on connections which a relay's host that
-// lost power has left behind: the host is back, and resets them.
-func TestRelayConnectionsEndWithTheirHost(t *testing.T) {
-	f := newFixture(t, ok)
-	line := nettest.NewPowerLine(t, startRelay(t, true))
+// losePower lets a gateway send a request through a relay, whose host then loses
+// power, and is back at once. It returns the address of the relay.
+func losePower(f *fixture) string {
+	f.t.Helper()
+	line := nettest.NewPowerLine(f.t, startRelay(f.t, true))
 	f.relayAt(line.Address())
 	if r, _ := f.do("POST", "/unsafe/x", "1", ""); r.StatusCode != 200 {
-		t.Fatalf("status %d before the loss of power", r.StatusCode)
+		f.t.Fatalf("status %d before the loss of power", r.StatusCode)
 	}
 	f.awaitKept(1)
 	line.Fail()
-	f.relayAt(line.Address())
+	return line.Address()
+}
+
+// Guards against requests that are lost on connections which a relay's host that
+// lost power has left behind: the host is back, and resets them.
+func TestRelayConnectionsEndWithTheirHost(t *testing.T) {
+	f := newFixture(t, ok)
+	f.relayAt(losePower(f))
 	w := f.gateway.watch
 	w.mu.Lock()
 	w.controls["c"].epoch++ // the host has answered again
@@ -197,13 +204,7 @@
 // has just lost power, before its silence is noticed.
 func TestQuietRelayIsProvedByANewConnection(t *testing.T) {
 	f := newFixture(t, ok)
-	line := nettest.NewPowerLine(t, startRelay(t, true))
-	f.relayAt(line.Address())
-	if r, _ := f.do("POST", "/unsafe/x", "1", ""); r.StatusCode != 200 {
-		t.Fatalf("status %d before the loss of power", r.StatusCode)
-	}
-	f.awaitKept(1)
-	line.Fail()
+	losePower(f)
 	time.Sleep(relayProven + time.Millisecond)
 	if r, body := f.do("POST", "/unsafe/x", "2", ""); r.StatusCode != 200 {
 		t.Errorf("status %d with body %q after the loss of power", r.StatusCode, body)
