End connections of a PowerLine that are opened while its test ends

The end of a test waits for all connections; one that was accepted at that moment was not closed and could keep it waiting. Not seen, found by reading.

--- a/internal/nettest/powerline.go
+++ b/internal/nettest/powerline.go
@@ -14,6 +14,7 @@
 	target  string
 	mu      sync.Mutex
 	open    []*poweredConn
+	ended   bool // the test is over
 }
 
 type poweredConn struct {
@@ -41,6 +42,7 @@
 	t.Cleanup(func() {
 		_ = l.Close()
 		p.mu.Lock()
+		p.ended = true
 		for _, c := range p.open {
 			_, _ = c.client.Close(), c.host.Close()
 		}
@@ -62,6 +64,9 @@
 	c := &poweredConn{client: client, host: host}
 	p.mu.Lock()
 	p.open = append(p.open, c)
+	if p.ended {
+		_, _ = client.Close(), host.Close()
+	}
 	p.mu.Unlock()
 	var wg sync.WaitGroup
 	wg.Go(func() { c.copy(client, host) })
