Let one pre-election go first when several begin at the same time

What operators saw: after the loss of a leader the next order was acknowledged only after 1.2 to 2.2 s in one of five losses.

Cause: two servers whose time-outs end within the time that a message takes both pass the pre-election, become candidates of one term and share out the votes; of six voters neither gets four. Each waits for another time-out then.

Change: a server that grants a pre-vote waits as if it had voted, and of two servers in pre-elections with equal logs the one with the smaller name refuses the other. The refusal lasts half an election time-out, since the one that goes first may be unable to win. Votes themselves are given as before, so no rule of safety is touched.

TestSimultaneousPreElections failed before.

--- a/pkg/agree/node.go
+++ b/pkg/agree/node.go
@@ -40,8 +40,9 @@
 	now          time.Duration
 	heardLeader  time.Duration // last message of the present leader, or the start
 	electionDue  time.Duration
-	votes        map[ID]bool // granted in the running (pre-)election
-	leadership   *leadership // nil unless leader
+	preElected   time.Duration // begin of the last pre-election
+	votes        map[ID]bool   // granted in the running (pre-)election
+	leadership   *leadership   // nil unless leader
 	invariantErr error
 }
 
--- a/pkg/agree/role.go
+++ b/pkg/agree/role.go
@@ -26,7 +26,7 @@
 	if !members.IsVoter(n.self) {
 		return
 	}
-	n.role, n.leader = PreCandidate, ID{}
+	n.role, n.leader, n.preElected = PreCandidate, ID{}, n.now
 	n.startVote(MsgPreVote, n.state.Term+1)
 }
 
--- /dev/null
+++ b/pkg/agree/split_test.go
@@ -0,0 +1,71 @@
+package agree
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// TestSimultaneousPreElections guards against two servers that find the leader
+// lost at the same time, split the votes of the term and wait for another round.
+func TestSimultaneousPreElections(t *testing.T) {
+	Convey("Given six servers whose leader is lost, two of which begin pre-elections at once", t, func() {
+		const size, second = 6, 3
+		var members []Server
+		for i := range size {
+			members = append(members, Server{ID: ID{Name: string(rune('a' + i)), Incarnation: "1"}, Voter: true})
+		}
+		entries := []Entry{{Index: 1, Term: 1, Kind: EntryMembership, Servers: members}}
+		nodes := map[ID]*Node{}
+		for i, m := range members[:size-1] {
+			due := int64(DefaultElectionMax-DefaultElectionMin) - 1
+			if i == 0 || i == second {
+				due = 0
+			}
+			nodes[m.ID] = New(Options{Self: m.ID, State: HardState{Term: 1}, Entries: entries, Random: func(int64) int64 { return due }}, 0)
+			nodes[m.ID].Ready()
+		}
+		now := DefaultElectionMin + time.Millisecond
+		queue := []Message{}
+		collect := func() {
+			for _, m := range members[:size-1] {
+				o := nodes[m.ID].Ready()
+				queue = append(queue, o.Messages...)
+			}
+		}
+		for _, n := range nodes {
+			n.Tick(now)
+		}
+		collect()
+		Convey("one of them wins the first term", func() {
+			for range 6 { // each message takes one turn
+				turn := queue
+				queue = nil
+				now += 20 * time.Millisecond
+				// The second server's messages reach all but one of the others first.
+				slices.SortStableFunc(turn, func(x, y Message) int {
+					first := strings.Compare(y.From.Name, x.From.Name)
+					if x.To == members[1].ID {
+						first = -first
+					}
+					return cmp.Or(strings.Compare(x.To.Name, y.To.Name), first)
+				})
+				for _, m := range turn {
+					if n := nodes[m.To]; n != nil {
+						So(n.Step(now, m), ShouldBeNil)
+					}
+				}
+				collect()
+			}
+			So(nodes[members[0].ID].role, ShouldEqual, Leader)
+			So(nodes[members[0].ID].state.Term, ShouldEqual, 2)
+			for _, n := range nodes {
+				So(n.leader, ShouldResemble, members[0].ID)
+			}
+		})
+	})
+}
--- a/pkg/agree/vote.go
+++ b/pkg/agree/vote.go
@@ -4,7 +4,10 @@
 func (n *Node) handleVote(m Message) {
 	grant := !n.log.fresherThan(m.Index, m.LogTerm) // I2
 	if m.Kind == MsgPreVote {
-		grant = grant && m.Term > n.state.Term && !n.leaderAlive()
+		grant = grant && m.Term > n.state.Term && !n.leaderAlive() && !n.goesFirst(m)
+		if grant && n.role != Candidate {
+			n.becomeFollower(n.state.Term, ID{}) // two at a time would split the votes
+		}
 		reply := Message{Kind: MsgPreVoteReply, To: m.From, Reject: !grant, Term: m.Term}
 		if !grant {
 			reply.Term = n.state.Term
@@ -21,6 +24,15 @@
 	n.send(Message{Kind: MsgVoteReply, To: m.From, Reject: !grant})
 }
 
+// goesFirst reports whether the own pre-election takes precedence over one that
+// began at about the same time with an equal log. Otherwise both would become
+// candidates of one term, and with an even number of voters neither might win. It
+// holds for the time of a round only, since this server may be unable to win.
+func (n *Node) goesFirst(m Message) bool {
+	return n.role == PreCandidate && n.now-n.preElected < n.options.ElectionMin/2 && m.Term == n.state.Term+1 &&
+		m.Index == n.log.last() && m.LogTerm == n.log.lastTerm() && n.self.Name < m.From.Name
+}
+
 func (n *Node) handleVoteReply(m Message) {
 	wanted := n.role == PreCandidate && m.Kind == MsgPreVoteReply && m.Term == n.state.Term+1 ||
 		n.role == Candidate && m.Kind == MsgVoteReply && m.Term == n.state.Term
