Keep the known leader when a pre-vote is granted

Change: the server keeps the leader it knows until it votes or hears another. TestPreVoteKeepsTheLeader failed before.

--- a/pkg/agree/split_test.go
+++ b/pkg/agree/split_test.go
@@ -69,3 +69,19 @@
 		})
 	})
 }
+
+// TestPreVoteKeepsTheLeader guards against a server that takes itself to be out of
+// contact because another one asks whether the leader is lost.
+func TestPreVoteKeepsTheLeader(t *testing.T) {
+	Convey("Given a server that has not heard its leader for the shortest time-out", t, func() {
+		n := nodeWith(1)
+		step(n, Message{Kind: MsgAppend, From: b, Term: 2, Index: 2, LogTerm: 1})
+		now := n.now + DefaultElectionMin - 1
+		So(stepAt(n, now, Message{Kind: MsgPreVote, From: c, Term: 3, Index: 2, LogTerm: 1})[0].Reject, ShouldBeTrue)
+		now++
+		n.electionDue = now + time.Second
+		So(stepAt(n, now, Message{Kind: MsgPreVote, From: c, Term: 3, Index: 2, LogTerm: 1})[0].Reject, ShouldBeFalse)
+		So(n.leader, ShouldResemble, b)
+		So(n.role, ShouldEqual, Follower)
+	})
+}
--- a/pkg/agree/vote.go
+++ b/pkg/agree/vote.go
@@ -6,7 +6,7 @@
 	if m.Kind == MsgPreVote {
 		grant = grant && m.Term > n.state.Term && !n.leaderAlive() && !n.goesFirst(m)
 		if grant && n.role != Candidate {
-			n.becomeFollower(n.state.Term, ID{}) // two at a time would split the votes
+			n.becomeFollower(n.state.Term, n.leader) // two at a time would split the votes
 		}
 		reply := Message{Kind: MsgPreVoteReply, To: m.From, Reject: !grant, Term: m.Term}
 		if !grant {
