--- a/pkg/agree/split_test.go
+++ b/pkg/agree/split_test.go
@@ -22,15 +22,15 @@
 		entries := []Entry{{Index: 1, Term: 1, Kind: EntryMembership, Servers: members}}
 		nodes := map[ID]*Node{}
 		for i, m := range members[:size-1] {
-			due := int64(DefaultElectionMax-DefaultElectionMin) - 1
+			due := int64(DefaultElectionMax-DefaultElectionMin) - 1 // last of all
 			if i == 0 || i == second {
-				due = 0
+				due = 0 // at once
 			}
 			nodes[m.ID] = New(Options{Self: m.ID, State: HardState{Term: 1}, Entries: entries, Random: func(int64) int64 { return due }}, 0)
 			nodes[m.ID].Ready()
 		}
 		now := DefaultElectionMin + time.Millisecond
-		queue := []Message{}
+		var queue []Message
 		collect := func() {
 			for _, m := range members[:size-1] {
 				o := nodes[m.ID].Ready()
