Hold a relayed request's endpoint once, name the free control host once

Cause: an exchange of a relay held the target's address and was handed an endpoint with the same address at two calls; the watch had the condition for a control host that may be asked in take and again in nearer.

Change: the exchange holds the endpoint, watch.free is the condition. No change of behaviour: the tests of relay and gateway pass unchanged (race detector).

--- a/internal/gateway/watch_choice.go
+++ b/internal/gateway/watch_choice.go
@@ -11,7 +11,7 @@
 func (w *watch) take() *controlState {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	c := w.best(func(c *controlState) bool { return !c.watched && c.shunned <= w.now() })
+	c := w.best(w.free)
 	if c == nil {
 		c = w.longestAside()
 	}
@@ -21,6 +21,9 @@
 	return c
 }
 
+// free reports whether a control host is neither watched nor set aside.
+func (w *watch) free(c *controlState) bool { return !c.watched && c.shunned <= w.now() }
+
 // longestAside returns the control host that failed longest ago, nil if all have
 // failed just now or are watched.
 func (w *watch) longestAside() *controlState {
@@ -73,7 +76,7 @@
 func (w *watch) nearer(c *controlState) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	best := w.best(func(o *controlState) bool { return !o.watched && o.shunned <= w.now() })
+	best := w.best(w.free)
 	return best != nil && w.distance(best) < w.distance(c)
 }
 
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -19,7 +19,7 @@
 	body       []byte
 	call       hop.Call
 	target     string
-	address    string
+	to         hop.Endpoint // the target; its start is known once the relay has found it
 	repeatable bool
 	rate       float64 // bytes a second that the entry host's link carries, 0 if unknown
 	bulk       bool    // the answer waits for others of the entry host
@@ -30,7 +30,7 @@
 func newExchange(s *session, request *http.Request, body []byte) *exchange {
 	h := request.Header
 	x := &exchange{session: s, request: request, body: body, call: s.server.config.Codec.Call(h),
-		target: h.Get(HeaderTarget), address: h.Get(HeaderAddress), repeatable: h.Get(HeaderRepeatable) != "", bulk: h.Get(HeaderBulk) != "", received: s.server.now()}
+		target: h.Get(HeaderTarget), to: hop.Endpoint{Address: h.Get(HeaderAddress)}, repeatable: h.Get(HeaderRepeatable) != "", bulk: h.Get(HeaderBulk) != "", received: s.server.now()}
 	if bytesPerSecond, err := strconv.ParseFloat(h.Get(HeaderRate), 64); err == nil && bytesPerSecond > 0 {
 		x.rate = bytesPerSecond
 	}
@@ -49,20 +49,20 @@
 		return x.report(Busy, nil)
 	}
 	defer s.end()
-	life, known := s.config.Find(x.target, x.address)
+	life, known := s.config.Find(x.target, x.to.Address)
 	if !known || x.left() <= 0 {
 		return x.report(Busy, nil)
 	}
-	to := hop.Endpoint{Address: x.address, Start: int64(life)}
+	x.to.Start = int64(life)
 	ctx, cancel := context.WithTimeout(ctx, x.left())
 	defer cancel()
-	u, outcome, err := x.connect(to)
+	u, outcome, err := x.connect()
 	if err != nil {
 		return x.report(outcome, err)
 	}
 	stop := context.AfterFunc(ctx, u.Close)
 	defer stop()
-	r, outcome := x.send(ctx, u, to)
+	r, outcome := x.send(ctx, u)
 	if r.Err != nil {
 		u.Abort()
 		return x.report(outcome, r.Err)
@@ -90,12 +90,12 @@
 
 // connect takes a kept connection to the target or opens one. The outcome says
 // why there is none; nothing was sent then.
-func (x *exchange) connect(to hop.Endpoint) (*hop.Conn, Outcome, error) {
+func (x *exchange) connect() (*hop.Conn, Outcome, error) {
 	s := x.session.server
-	if s.silences.holds(s.now(), x.address) {
+	if s.silences.holds(s.now(), x.to.Address) {
 		return nil, Unreached, errSilent
 	}
-	if u := s.pool.Get(to, x.repeatable); u != nil {
+	if u := s.pool.Get(x.to, x.repeatable); u != nil {
 		return u, "", nil
 	}
 	limit := min(hop.DialTimeout, x.left()-reportMargin)
@@ -103,22 +103,22 @@
 		return nil, Busy, context.DeadlineExceeded
 	}
 	s.count("relay.dials")
-	u, err := s.pool.Dial(to, limit)
+	u, err := s.pool.Dial(x.to, limit)
 	if err == nil {
-		s.silences.answered(x.address)
+		s.silences.answered(x.to.Address)
 		return u, "", nil
 	}
 	if limit < hop.DialTimeout {
 		return nil, Busy, err // cut short by the request's own end, which says nothing of the target
 	}
 	if hop.IsTimeout(err) {
-		s.silences.failed(s.now(), x.address)
+		s.silences.failed(s.now(), x.to.Address)
 	}
 	return nil, Unreached, err
 }
 
 // send writes the request and waits for the head of the answer.
-func (x *exchange) send(ctx context.Context, u *hop.Conn, to hop.Endpoint) (hop.Result, Outcome) {
+func (x *exchange) send(ctx context.Context, u *hop.Conn) (hop.Result, Outcome) {
 	forwarded := &http.Request{Method: x.request.Method, URL: x.request.URL, RequestURI: x.request.RequestURI,
 		Host: x.request.Host, Header: hop.PassedOn(x.request.Header)}
 	Strip(forwarded.Header)
@@ -141,8 +141,8 @@
 			// The host has not acknowledged the request. Other kept connections to
 			// it would lose what is sent on them, too.
 			s := x.session.server
-			s.silences.failed(s.now(), x.address)
-			s.pool.Forget(to)
+			s.silences.failed(s.now(), x.to.Address)
+			s.pool.Forget(x.to)
 		}
 		return r, outcomeOf(ctx)
 	case <-ctx.Done():
@@ -179,6 +179,6 @@
 // log logs what went wrong with the request, within a rate.
 func (x *exchange) log(message string, err error, detail ...any) {
 	s := x.session.server
-	s.sampler.Warn(s.config.Log, message, append([]any{"id", x.call.ID, "target", x.target, "address", x.address,
+	s.sampler.Warn(s.config.Log, message, append([]any{"id", x.call.ID, "target", x.target, "address", x.to.Address,
 		"entry", x.session.host, "after", s.now() - x.received, "err", err}, detail...)...)
 }
