Use nettest where tests still wrote a listener or a target themselves

Change: they call nettest; a variable no longer hides the function ids. The assertions stay. TestHeadWithoutEnd still fails when the limit of a head is lifted; hop, relay and gateway pass three times with the race detector.

--- a/internal/gateway/caller_test.go
+++ b/internal/gateway/caller_test.go
@@ -54,8 +54,8 @@
 	if _, err := io.ReadAll(br); err != nil {
 		t.Errorf("the connection did not end cleanly: %v", err)
 	}
-	if ids := ids(f.targets[0]); len(ids) != 1 {
-		t.Errorf("the target read %v, want only i1", ids)
+	if read := ids(f.targets[0]); len(read) != 1 {
+		t.Errorf("the target read %v, want only i1", read)
 	}
 }
 
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -103,10 +103,7 @@
 		g.view.targets.Note(g.now(), roster.Report{Announcement: roster.Announcement{
 			Name: target.Name, Life: 1, Sequence: 1, Service: "s", Address: target.Address(), Zone: "z1", Slots: 4}})
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	l := nettest.Listen(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	f.front, f.cancel = l.Addr().String(), cancel
 	go g.Run(ctx, l)
--- a/internal/gateway/relays_test.go
+++ b/internal/gateway/relays_test.go
@@ -38,10 +38,7 @@
 
 func listen(t *testing.T, serve func(context.Context, net.Listener)) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	l := nettest.Listen(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(func() { cancel(); _ = l.Close() })
 	go serve(ctx, l)
--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"sync"
 	"testing"
 	"time"
@@ -12,6 +11,7 @@
 
 	"github.com/hornbeamstack/hornbeamstack/internal/desired"
 	"github.com/hornbeamstack/hornbeamstack/internal/fleet"
+	"github.com/hornbeamstack/hornbeamstack/internal/nettest"
 	"github.com/hornbeamstack/hornbeamstack/internal/peer"
 	"github.com/hornbeamstack/hornbeamstack/pkg/finding"
 	"github.com/hornbeamstack/hornbeamstack/pkg/policy"
@@ -28,10 +28,7 @@
 
 func newFakeControl(t *testing.T, reply func(fleet.PullRequest) fleet.PullReply) *fakeControl {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	l := nettest.Listen(t)
 	c := &fakeControl{address: l.Addr().String(), reply: reply}
 	server := peer.NewServer("control")
 	peer.Register(server, fleet.MethodPull, func(_ context.Context, _ string, req fleet.PullRequest) (fleet.PullReply, error) {
@@ -86,10 +83,7 @@
 		}
 		return reply
 	})
-	dead, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	dead := nettest.Listen(t)
 	_ = dead.Close()
 	g := newWatchingGateway(t, dead.Addr().String(), stale.address, fresh.address)
 	if g.Ready() {
--- a/internal/hop/endless_test.go
+++ b/internal/hop/endless_test.go
@@ -1,7 +1,6 @@
 package hop
 
 import (
-	"bufio"
 	"errors"
 	"io"
 	"net"
@@ -9,6 +8,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/nettest"
 )
 
 // endlessBytes is far more than any head has; a target of these tests gives up then.
@@ -19,22 +20,10 @@
 // many bytes were taken.
 func listenEndless(t *testing.T, start, part string) (address string, taken <-chan int) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
 	result := make(chan int, 1)
-	go func() {
-		conn, err := l.Accept()
-		if err != nil {
-			return
-		}
+	target := nettest.StartTarget(t, func(_ *nettest.Target, conn net.Conn, _ *http.Request) {
 		defer conn.Close()
-		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-			return
-		}
-		_, err = io.WriteString(conn, start)
+		_, err := io.WriteString(conn, start)
 		many := strings.Repeat(part, 1+(32<<10)/len(part))
 		sent := 0
 		for err == nil && sent < endlessBytes {
@@ -43,8 +32,8 @@
 			sent += n
 		}
 		result <- sent
-	}()
-	return l.Addr().String(), result
+	})
+	return target.Address(), result
 }
 
 // Guards against a target that sends a head without end and so fills the memory
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -134,10 +134,7 @@
 // Guards against answers of the relay's own that say something else than what
 // happened: an entry host repeats or refuses by them.
 func TestOutcomes(t *testing.T) {
-	closed, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	closed := nettest.Listen(t)
 	nobody := closed.Addr().String()
 	_ = closed.Close()
 	cases := []struct {
