Wait for offers in flight before Receiver.Wait returns

Cause: handlers of offers outlive the peer server and the context. An offer that had read the context before its end could add to the wait group while Wait read it, and was then forwarded after Wait had returned; the entry host meets this at each stop, since its peer server runs longer than its tasks. Ruled out: drpc, whose streams end with the server.

Change: Wait marks the receiver as stopped under the lock under which offers start to be forwarded.

--- a/internal/rollout/receiver.go
+++ b/internal/rollout/receiver.go
@@ -24,6 +24,7 @@
 
 	mu        sync.Mutex
 	forwarded uint64 // newest version forwarded
+	stopped   bool   // set by Wait
 	wg        sync.WaitGroup
 }
 
@@ -35,8 +36,15 @@
 	return receiver
 }
 
-// Wait returns when no offer is being forwarded. Call it after ctx has ended.
-func (r *Receiver) Wait() { r.wg.Wait() }
+// Wait ends forwarding and returns when no offer is being forwarded. Call it after ctx
+// has ended. Handlers of offers may still run, because the peer server does not wait
+// for its handlers; they forward nothing anymore.
+func (r *Receiver) Wait() {
+	r.mu.Lock()
+	r.stopped = true
+	r.mu.Unlock()
+	r.wg.Wait()
+}
 
 // offer handles bundle.offer. If versions before the offered one are missing, it
 // fetches them from the sender.
@@ -69,7 +77,7 @@
 	active := r.holder.Current()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if version <= r.forwarded || active.Version != version || r.ctx.Err() != nil {
+	if version <= r.forwarded || active.Version != version || r.stopped {
 		return
 	}
 	r.forwarded = version
