Tie refusals of targets to the request in flight

Cause: an answer that says 'not run' counted as the answer to the request in flight even without an id. A copy of an earlier refusal on a kept connection told the caller of a running request that it was not run, or sent it to a second target. Ruled out: copies with the id of an earlier request, which were passed over already.

Change: without an id, an answer is tied to the first request of a connection only; the relay adds the id that it has tied. A connection does not carry the same id again after a refusal, and requests without an id get a new connection.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -75,12 +75,15 @@
 	return hop.Endpoint{Address: t.Address, Start: int64(t.Life)}
 }
 
-// connect returns an idle connection to the target or opens one. If it returns
-// nil, the attempt holds the reason.
+// connect returns an idle connection to the target or opens one. A request without an
+// id gets a new one: on a used connection its answer could not be told from a copy of
+// an earlier one. If connect returns nil, the attempt holds the reason.
 func (d *delivery) connect(t *roster.Target, e *evidence.Target) (*hop.Conn, attempt) {
 	g := d.gateway
-	if u := g.pool.Get(endpoint(t), d.exchange.route.Kind.Idempotent()); u != nil {
-		return u, attempt{}
+	if d.exchange.call.ID != "" {
+		if u := g.pool.Get(endpoint(t), d.exchange.route.Kind.Idempotent()); u != nil {
+			return u, attempt{}
+		}
 	}
 	limit := min(hop.DialTimeout, d.deadline-g.now())
 	if limit <= 0 {
@@ -100,7 +103,7 @@
 // outcome notTaken nothing has reached the target.
 func (d *delivery) sendByRelay(t *roster.Target, e *evidence.Target) attempt {
 	g := d.gateway
-	if d.noRelay || !d.exchange.body.replayable() {
+	if d.noRelay || !d.exchange.body.replayable() || d.exchange.call.ID == "" {
 		return attempt{outcome: notTaken}
 	}
 	idempotent := d.exchange.route.Kind.Idempotent()
--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -21,6 +22,9 @@
 	unackedTimeout      = 700 * time.Millisecond
 	readBuffer          = 4 << 10 // bytes
 	maxSkippedResponses = 8       // 1xx responses and responses to earlier requests skipped per request
+	// maxRefusals limits the refusals on one connection, whose ids are kept. After
+	// that many the connection is not reused.
+	maxRefusals = 32
 	// maxHead limits the head (status line and headers) of a response, in bytes.
 	// A faulty target may send a head that never ends.
 	maxHead = 64 << 10
@@ -48,6 +52,7 @@
 	waiting chan<- Result // receives the response to the request in flight, nil while idle
 	request *http.Request
 	id      string
+	refused []string // ids of the requests that the target refused on the connection
 	codec   Codec
 	resume  chan bool // tells readLoop that the response was read; false ends the connection
 	onDead  func(*Conn)
@@ -106,6 +111,9 @@
 		r := u.readResponse(request, id)
 		u.mu.Lock()
 		u.waiting = nil
+		if r.Err == nil && r.Answer.NotExecuted {
+			u.refused = append(u.refused, id)
+		}
 		u.mu.Unlock()
 		waiting <- r
 		if r.Err != nil || !<-u.resume {
@@ -127,7 +135,7 @@
 			continue
 		}
 		answer := u.codec.Answer(response.StatusCode, response.Header)
-		if id == "" || answer.ID == id || (answer.ID == "" && answer.NotExecuted) {
+		if u.belongs(answer, id) {
 			return Result{Response: response, Answer: answer}
 		}
 		response.Close = true
@@ -144,6 +152,17 @@
 	return Result{Err: ErrWrongAnswer}
 }
 
+// belongs reports whether an answer belongs to the request in flight. A target may
+// write an answer more than once, also when the connection is in use again. Without
+// an id the answer can only be tied to the first request on a connection, and with an
+// id of the request itself it must be a refusal.
+func (u *Conn) belongs(answer Answer, id string) bool {
+	if answer.ID != "" {
+		return answer.ID == id
+	}
+	return u.fresh && (id == "" || answer.NotExecuted)
+}
+
 // readHead reads the head of a response; its body stays unread.
 func (u *Conn) readHead(request *http.Request) (*http.Response, error) {
 	u.limiter.Allow(maxHead + readBuffer)
@@ -152,7 +171,9 @@
 }
 
 // Expect registers a request that is about to be written and returns the channel
-// on which its result arrives. It returns false if the connection has ended.
+// on which its result arrives. It returns false if the connection has ended, or if an
+// answer to the request could not be told from a copy of an earlier one; then Expect
+// ends the connection.
 func (u *Conn) Expect(request *http.Request, id string) (<-chan Result, bool) {
 	ch := make(chan Result, 1)
 	u.mu.Lock()
@@ -160,6 +181,11 @@
 	if u.dead {
 		return nil, false
 	}
+	if id == "" && !u.fresh || slices.Contains(u.refused, id) {
+		u.dead = true
+		_ = u.conn.Close() // stops readLoop
+		return nil, false
+	}
 	u.waiting, u.request, u.id = ch, request, id
 	return ch, true
 }
@@ -168,7 +194,7 @@
 func (u *Conn) usable() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return !u.dead
+	return !u.dead && len(u.refused) < maxRefusals
 }
 
 // Abort ends a connection whose response was not read in full.
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -15,11 +15,14 @@
 const approxHeadBytes = 512
 
 // relayResponse streams a target's response to the entry host. Its last bytes stay in
-// the buffer of the session's writer; the caller flushes them.
+// the buffer of the session's writer; the caller flushes them. The response gets the id
+// of the request that it was tied to if the target left it out, because the entry host
+// cannot tell whether the relay's connection to the target was new.
 func (x *exchange) relayResponse(ctx context.Context, response *http.Response) error {
 	s := x.session
 	header := hop.EndToEndHeaders(response.Header)
 	Strip(header)
+	x.session.server.config.Codec.Echo(header, x.call.ID)
 	bodyless := x.request.Method == http.MethodHead || response.StatusCode == http.StatusNoContent || response.StatusCode == http.StatusNotModified
 	chunked := response.ContentLength < 0 && !bodyless
 	if chunked {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -36,7 +36,7 @@
 }
 
 func (testCodec) Answer(_ int, h http.Header) hop.Answer {
-	return hop.Answer{ID: h.Get("Id"), Signed: true}
+	return hop.Answer{ID: h.Get("Id"), Signed: true, NotExecuted: h.Get("Not-Run") != ""}
 }
 func (testCodec) Refuse(http.Header, time.Duration) {}
 func (testCodec) Echo(h http.Header, id string)     { h.Set("Id", id) }
@@ -402,3 +402,27 @@
 		t.Errorf("status %d after the restart of the target, want 200", r.StatusCode)
 	}
 }
+
+// A refusal without an id on the relay's new connection to a target belongs to the
+// request. The entry host, whose connection to the relay is a used one, can only know
+// that if the relay adds the id; on a used connection to the target the refusal may be
+// a copy of an earlier one and must not reach the entry host.
+func TestRefusalsWithoutID(t *testing.T) {
+	_, address := startRelay(t)
+	target := nettest.StartTarget(t, func(_ *nettest.Target, conn net.Conn, r *http.Request) {
+		fmt.Fprint(conn, "HTTP/1.1 503 Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		if r.Header.Get("Id") == "2" {
+			echo(nil, conn, r)
+		}
+	})
+	e := dialRelay(t, address)
+	for _, want := range []struct {
+		id     string
+		status int
+	}{{"1", 503}, {"2", 200}} {
+		e.send(want.id, "t", target.Address(), "", time.Second, HeaderRepeatable+": 1\r\n")
+		if r, _ := e.read(); r.StatusCode != want.status || r.Header.Get("Id") != want.id {
+			t.Errorf("request %s got %d with id %q, want %d", want.id, r.StatusCode, r.Header.Get("Id"), want.status)
+		}
+	}
+}
