Merge claim results whose owner was released

Cause: merged took the first owner of a record with a result, and a record has none once its attempt was released after the result. A joining store that copied such a record ended with an index out of range. TestMergeResultWithoutOwner panicked before.

--- a/pkg/claim/record.go
+++ b/pkg/claim/record.go
@@ -86,11 +86,22 @@
 		next = next.withOwner(a)
 	}
 	if o.Result == Done && r.Result != Done || o.Result == Uncertain && r.Result == NoResult {
-		next = next.withResult(o.Owners[0], o.Result, o.Answer)
+		next = next.withCopiedResult(o)
 	}
 	return next
 }
 
+// withCopiedResult returns the record with the result of the record o of another store.
+// o has no owner if the attempt that reported the result was released later.
+func (r *Record) withCopiedResult(o *Record) *Record {
+	if len(o.Owners) > 0 {
+		return r.withResult(o.Owners[0], o.Result, o.Answer)
+	}
+	next := *r
+	next.Result, next.Answer = o.Result, o.Answer
+	return &next
+}
+
 // interned returns a copy with interned strings.
 func (r *Record) interned() *Record {
 	next := *r
