Refuse appends that a frame of the log cannot hold

Cause: one Append of over 1 GiB was written and reported durable, and taken for a torn frame when the log was opened again. TestLargeAppend failed before.

--- a/pkg/wal/frame.go
+++ b/pkg/wal/frame.go
@@ -20,6 +20,10 @@
 	// MaxRecordBytes limits the data of one record, whose length field has 32 bits.
 	MaxRecordBytes = 256 << 20
 	maxFrameBytes  = 1 << 30
+	// MaxAppendBytes limits the encoded records of one Append. A frame holds one such
+	// call at most on top of maxBatchBytes, so that it stays below maxFrameBytes and can
+	// be read again.
+	MaxAppendBytes = 512 << 20
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
--- a/pkg/wal/log.go
+++ b/pkg/wal/log.go
@@ -44,7 +44,11 @@
 			return fmt.Errorf("record %d has %d bytes, the limit is %d", r.Index, len(r.Data), MaxRecordBytes)
 		}
 	}
-	return l.submit(&request{records: recs})
+	r := &request{records: recs}
+	if n := r.bytes(); n > MaxAppendBytes {
+		return fmt.Errorf("%d records have %d bytes, the limit of one call is %d", len(recs), n, MaxAppendBytes)
+	}
+	return l.submit(r)
 }
 
 // TruncateAfter removes all records with a larger index and returns once the removal
--- a/pkg/wal/wal_test.go
+++ b/pkg/wal/wal_test.go
@@ -242,3 +242,19 @@
 		t.Fatalf("%d of 300 records recovered", len(seen))
 	}
 }
+
+// TestLargeAppend guards against a frame so large that it is taken for a torn one when
+// the log is opened again, although it was reported durable.
+func TestLargeAppend(t *testing.T) {
+	Convey("A call with more bytes than a frame may have is refused and writes nothing", t, func() {
+		l, _ := open(memfs.New())
+		defer func() { _ = l.Close() }()
+		data := make([]byte, 1<<20)
+		large := make([]wal.Record, 1+wal.MaxAppendBytes/len(data))
+		for i := range large {
+			large[i] = wal.Record{Index: uint64(i + 1), Data: data}
+		}
+		So(l.Append(large...), ShouldNotBeNil)
+		So(l.Append(record(1)), ShouldBeNil)
+	})
+}
