Follow departures and pauses that targets tell in their answers

A target may say in any answer that it is about to exit, and in a refusal for how long it wants no request from the host that sent it.

An entry host and a relay stop using such a target at once, until its next incarnation. Entry hosts report the departure in their pulls until the orders contain it, and the control host commits it like one that the target announced, so that it survives restarts. A pause is kept by the host that the target saw, the relay or the entry host, for a minute at most; a relay tells entry hosts what is left of it, and a refusal tells callers the shortest pause.

Entry hosts drop targets that are silent or leaving for ten minutes, as control hosts do: they called Forget never.

--- a/internal/core/announce.go
+++ b/internal/core/announce.go
@@ -48,11 +48,10 @@
 	return n.submitDeparture(ctx, desired.Departure{Name: name, Life: life})
 }
 
-// TargetAt returns the current life of a target and whether its newest
-// announcement gave this address.
-func (n *Node) TargetAt(name, address string) (roster.Life, bool) {
+// TargetAt returns a target and whether its newest announcement gave this address.
+func (n *Node) TargetAt(name, address string) (roster.Target, bool) {
 	t, ok := n.targets.Find(name)
-	return t.Life, ok && t.Address == address
+	return t, ok && t.Address == address
 }
 
 // submitDeparture submits a departure unless the desired state already contains it.
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -40,6 +40,7 @@
 	direct        *directLog
 	changed       *notifier
 	targetMonitor *targetMonitor
+	departures    *departureQueue
 
 	documentAppliedAt atomic.Int64 // when the document in force was applied, in nanoseconds since start; 0 if before start
 
@@ -59,7 +60,7 @@
 		config: c, self: fleet.Control{Peer: c.Peer, Zone: c.Zone, Region: c.Region, Relay: c.Relay},
 		epoch: time.Now().UnixNano(), start: time.Now(),
 		targets: roster.New(targetExpiry), entries: newEntryTable(), direct: newDirectLog(), changed: newNotifier(),
-		targetMonitor: newTargetMonitor(), registry: metrics.NewRegistry(),
+		targetMonitor: newTargetMonitor(), departures: newDepartureQueue(), registry: metrics.NewRegistry(),
 	}
 	n.otherControls = newControlTable(n.self, c.Seeds)
 	n.machine = desired.New(n.onApplied)
@@ -69,6 +70,7 @@
 	n.tasks.Go(func() { n.runGroup(ctx) })
 	n.tasks.Go(func() { n.exchangeLoop(ctx) })
 	n.tasks.Go(func() { n.sweepLoop(ctx) })
+	n.tasks.Go(func() { n.departureLoop(ctx) })
 	return n
 }
 
--- a/internal/core/pull.go
+++ b/internal/core/pull.go
@@ -19,6 +19,9 @@
 	n.entries.record(n.now(), 0, req.Entry, true)
 	n.count("pulls")
 	n.targetMonitor.record(n.now(), req.Reports)
+	for _, d := range req.Leaving {
+		n.ReportLeaving(d.Name, d.Life)
+	}
 	deadline := time.NewTimer(req.Wait)
 	defer deadline.Stop()
 	fresh := n.fresh()
--- a/internal/fleet/pull.go
+++ b/internal/fleet/pull.go
@@ -25,6 +25,9 @@
 	Reports []TargetReport `cbor:"9,keyasint,omitempty"`
 	// StateNumber is the revision of the target states held.
 	StateNumber uint64 `cbor:"10,keyasint,omitempty"`
+	// Leaving holds departures that targets told in their answers, and that the orders
+	// held do not contain.
+	Leaving []desired.Departure `cbor:"11,keyasint,omitempty"`
 }
 
 // PullReply carries what the entry host lacks.
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -20,10 +20,11 @@
 func (g *Gateway) isProbe(id string) bool { return affinity.Object("try", id)%probeDivisor == 0 }
 
 // choose returns the target for the next attempt of a request: the first in the
-// order of its object that was not tried yet and has the best verdict. It returns
-// false if there is none.
+// order of its object that was not tried yet, has asked for no pause and has the best
+// verdict. It returns false if there is none.
 func (g *Gateway) choose(d *delivery) (roster.Target, *evidence.Target, bool) {
 	now := g.now()
+	d.shortestPause = 0
 	table := g.view.table(now, d.service)
 	if table == nil {
 		return roster.Target{}, nil, false
@@ -59,7 +60,12 @@
 		if t.Cold(now) && !g.cold.allowed(now, &t, d.exchange.policy) {
 			continue
 		}
-		e := g.evidenceStore.For(evidence.Key{Name: t.Name, Life: int64(t.Life)})
+		k := evidence.Key{Name: t.Name, Life: int64(t.Life)}
+		if left := g.pauses.Left(now, k); left > 0 {
+			d.notePause(left)
+			continue
+		}
+		e := g.evidenceStore.For(k)
 		v := e.Verdict(now)
 		if oneRegion && g.reports.failing(t.Name) && !g.isProbe(d.exchange.call.ID) {
 			v = max(v, evidence.Outlier)
--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -40,6 +40,14 @@
 	atTarget       time.Duration // sum over attempts of the time from sending the request to the result
 	possibleRuns   int           // attempts that may have run
 	notRunAttempts int           // attempts that did not run
+	shortestPause  time.Duration // of the targets that the last choice passed over for their pause, 0 if there were none
+}
+
+// notePause records that a target was passed over because its pause lasts for left.
+func (d *delivery) notePause(left time.Duration) {
+	if d.shortestPause == 0 || left < d.shortestPause {
+		d.shortestPause = left
+	}
 }
 
 // way is how an attempt reaches its target: through a relay or directly.
@@ -90,7 +98,7 @@
 		}
 		if !ok {
 			if first {
-				return g.refuse(x, reasonNoTarget, "service", d.service)
+				return g.refuseFor(x, reasonNoTarget, max(refusalPause, d.shortestPause), "service", d.service)
 			}
 			return d.giveUp(last)
 		}
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -35,7 +35,9 @@
 }
 
 func (fakeCodec) Answer(status int, h http.Header) hop.Answer {
-	return hop.Answer{ID: h.Get("Id"), Signed: h.Get("Unsigned") == "", NotExecuted: h.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest}
+	pause, _ := strconv.Atoi(h.Get("Pause"))
+	return hop.Answer{ID: h.Get("Id"), Signed: h.Get("Unsigned") == "", NotExecuted: h.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest,
+		Leaving: h.Get("Leaving") != "", RetryAfter: time.Duration(pause) * time.Millisecond}
 }
 
 func (fakeCodec) Refuse(h http.Header, pause time.Duration) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -48,6 +48,8 @@
 	timeouts      *timeouts
 	downloadLimit *downloads
 	relays        *relays
+	pauses        *evidence.Pauses
+	departures    *departures
 	meters        *meters
 
 	stopCalled atomic.Bool
@@ -60,10 +62,11 @@
 func New(c Config) *Gateway {
 	g := &Gateway{config: c, log: c.Log, start: time.Now(), started: time.Now().UnixNano(),
 		evidenceStore: evidence.NewStore(), callers: map[*callerConn]bool{}, splits: newSplitters(),
-		reports: newReports(), balance: affinity.NewBalancer(), gate: admission.NewGate(), timeouts: newTimeouts(), meters: newMeters()}
+		reports: newReports(), balance: affinity.NewBalancer(), gate: admission.NewGate(), timeouts: newTimeouts(),
+		pauses: evidence.NewPauses(), departures: newDepartures(), meters: newMeters()}
 	g.downloadLimit = newDownloads(c.LinkRate)
 	g.view = newView(&g.config)
-	g.watch = newWatch(&g.config, g.view, g.now, g.self, g.reports, g.meters)
+	g.watch = newWatch(&g.config, g.view, g.now, g.self, g.reports, g.departures, g.meters)
 	g.pool = hop.NewPool(c.Codec, g.now, c.MaxIdleConnections)
 	g.relays = newRelays(g.watch, g.pool, c.LinkRate)
 	g.budgets = newBudgets(&g.config)
@@ -135,6 +138,7 @@
 		g.updateGauges()
 		g.watch.checkContact()
 		g.relays.abortSilent()
+		g.view.targets.Forget(g.now())
 		loads := g.reports.averages(func(name string) bool { _, ok := g.view.targets.Find(name); return ok })
 		g.balance.Step(housekeepingInterval, loads)
 		g.gate.Step(housekeepingInterval, g.admissionLoads(loads))
--- a/internal/gateway/own_answers.go
+++ b/internal/gateway/own_answers.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"time"
 )
 
 // reason is why a request was refused. No target has run a refused request.
@@ -32,10 +33,15 @@
 const statusCallerLeft = 499
 
 // refuse returns an answer that says that the request was not run and may be sent
-// again. It logs and counts the refusal.
+// again after refusalPause. It logs and counts the refusal.
 func (g *Gateway) refuse(x *exchange, why reason, detail ...any) *reply {
+	return g.refuseFor(x, why, refusalPause, detail...)
+}
+
+// refuseFor is refuse with another pause.
+func (g *Gateway) refuseFor(x *exchange, why reason, pause time.Duration, detail ...any) *reply {
 	r := newReply(http.StatusServiceUnavailable, refusalText[why])
-	g.config.Codec.Refuse(r.header, refusalPause)
+	g.config.Codec.Refuse(r.header, pause)
 	g.config.Codec.Echo(r.header, x.call.ID)
 	g.meters.refused(string(why))
 	g.logFailure("refused", append([]any{"id", x.call.ID, "reason", why, "after", g.now() - x.received}, detail...)...)
--- a/internal/gateway/relays_test.go
+++ b/internal/gateway/relays_test.go
@@ -33,7 +33,9 @@
 // the targets.
 func startRelay(t *testing.T, known bool) string {
 	t.Helper()
-	s := relay.New(relay.Config{Codec: fakeCodec{}, MaxIdleConnections: 100, Find: func(string, string) (roster.Life, bool) { return 1, known },
+	s := relay.New(relay.Config{Codec: fakeCodec{}, MaxIdleConnections: 100, Find: func(name, _ string) (roster.Target, bool) {
+		return roster.Target{Announcement: roster.Announcement{Name: name, Life: 1}}, known
+	}, ReportLeaving: func(string, roster.Life) {},
 		Metrics: metrics.NewRegistry(), Log: log.New(io.Discard)})
 	return listen(t, func(ctx context.Context, l net.Listener) { s.Serve(ctx, l) })
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -67,7 +67,7 @@
 func (d *delivery) handleResponse(u *hop.Conn, t *roster.Target, e *evidence.Target, r hop.Result, complete bool) attempt {
 	now := d.gateway.now()
 	if d.via == viaRelay {
-		if a, failed := d.relayFailed(u, e, &r); failed {
+		if a, failed := d.relayFailed(u, t, e, &r); failed {
 			return a
 		}
 	}
@@ -84,6 +84,7 @@
 		e.RecordFailure(now)
 		return attempt{outcome: broken, err: errUnsigned}
 	}
+	d.observe(t, &r.Answer)
 	if r.Answer.Load != nil {
 		e.RecordLoad(now, *r.Answer.Load)
 		d.gateway.reports.load(t.Name, *r.Answer.Load)
@@ -115,29 +116,57 @@
 	return a
 }
 
+// observe acts on what an answer says about its target: that it is about to exit, or
+// wants no requests for some time.
+func (d *delivery) observe(t *roster.Target, a *hop.Answer) {
+	g := d.gateway
+	if a.RetryAfter > 0 {
+		g.meters.count("target.pauses")
+		g.pauses.Add(g.now(), evidence.Key{Name: t.Name, Life: int64(t.Life)}, a.RetryAfter)
+	}
+	if a.Leaving {
+		g.targetLeaves(t, d.via)
+	}
+}
+
 // errRelay is returned when the relay reports that it has no answer from the target.
 var errRelay = errors.New("the relay got no answer from the target")
 
+// errLeaving and errPaused are returned when the relay has sent nothing because the
+// target is about to exit, or wants no requests from the relay for some time.
+var (
+	errLeaving = errors.New("the target is about to exit")
+	errPaused  = errors.New("the target has asked the relay for a pause")
+)
+
 // relayFailed reports whether the result comes from the relay itself rather than
 // from the target, and returns the result of the attempt if so.
-func (d *delivery) relayFailed(u *hop.Conn, e *evidence.Target, r *hop.Result) (a attempt, failed bool) {
-	now := d.gateway.now()
+func (d *delivery) relayFailed(u *hop.Conn, t *roster.Target, e *evidence.Target, r *hop.Result) (a attempt, failed bool) {
+	g := d.gateway
+	now := g.now()
 	if r.Err != nil {
 		u.Abort()
 		return attempt{outcome: broken, err: r.Err, relayLost: true}, true
 	}
-	d.gateway.relays.answered(now, u.Address())
+	g.relays.answered(now, u.Address())
 	outcome := relay.Outcome(r.Response.Header.Get(relay.HeaderOutcome))
 	if outcome == "" {
 		return attempt{}, false
 	}
-	d.gateway.pool.Put(u) // an answer of the relay itself has no body
+	g.pool.Put(u) // an answer of the relay itself has no body
 	switch outcome {
 	case relay.Busy:
 		return attempt{outcome: notTaken}, true
 	case relay.Unreached:
 		e.RecordUnreachable(now)
 		return attempt{outcome: unreached, err: errRelay}, true
+	case relay.Leaving:
+		g.targetLeaves(t, viaRelay)
+		return attempt{outcome: unreached, err: errLeaving}, true
+	case relay.Paused:
+		left := relay.PauseLeft(r.Response.Header)
+		g.pauses.Add(now, evidence.Key{Name: t.Name, Life: int64(t.Life)}, left)
+		return attempt{outcome: unreached, err: errPaused}, true
 	case relay.TimedOut:
 		return attempt{outcome: timedOut, err: errRelay}, true
 	}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -48,6 +48,8 @@
 	self    func() fleet.Entry
 	reports *reports
 	meters  *meters
+	// departures are reported to the control hosts until their orders contain them.
+	departures *departures
 
 	mu        sync.Mutex
 	controls  map[string]*controlState
@@ -56,8 +58,8 @@
 	contact   contactLog
 }
 
-func newWatch(c *Config, v *view, now func() time.Duration, self func() fleet.Entry, r *reports, m *meters) *watch {
-	w := &watch{config: c, view: v, now: now, self: self, reports: r, meters: m, controls: map[string]*controlState{}}
+func newWatch(c *Config, v *view, now func() time.Duration, self func() fleet.Entry, r *reports, d *departures, m *meters) *watch {
+	w := &watch{config: c, view: v, now: now, self: self, reports: r, departures: d, meters: m, controls: map[string]*controlState{}}
 	w.setSeeds(c.Seeds)
 	return w
 }
@@ -104,7 +106,7 @@
 	self := w.self()
 	w.mu.Lock()
 	req := fleet.PullRequest{Entry: self, Version: version, Orders: orders, Epoch: c.epoch, Revision: c.revision,
-		Controls: w.digest, Wait: pullWait, Reports: w.reports.take(c.control.Peer), StateNumber: c.states}
+		Controls: w.digest, Wait: pullWait, Reports: w.reports.take(c.control.Peer), StateNumber: c.states, Leaving: w.departures.list()}
 	address := c.control.Peer
 	w.mu.Unlock()
 	call, cancel := context.WithTimeout(ctx, pullTimeout)
@@ -155,6 +157,9 @@
 	if reply.Orders != nil && w.view.setOrders(reply.Index, reply.Orders) {
 		w.config.Log.Info("orders in force", "index", reply.Index, "evacuated", reply.Orders.Evacuated, "departures", len(reply.Orders.Departures))
 	}
+	if reply.Orders != nil {
+		w.departures.confirm(reply.Orders.Departures)
+	}
 	for i := range reply.Targets {
 		w.view.targets.Apply(now, reply.Targets[i])
 	}
--- a/internal/hop/codec.go
+++ b/internal/hop/codec.go
@@ -20,6 +20,8 @@
 	NotExecuted bool           // the target has not executed the request and will not do so
 	Load        *evidence.Load // load reported by the target, nil if not stated
 	Signed      bool           // the response carries the signature of the target
+	Leaving     bool           // the target is about to exit and must get no further requests
+	RetryAfter  time.Duration  // time for which the target wants no requests from this host, 0 if not stated
 	KeepAlive   time.Duration  // idle time after which the target closes the connection, 0 if not stated
 }
 
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -13,9 +13,11 @@
 	Codec hop.Codec
 	// MaxIdleConnections limits the idle connections to targets that are kept.
 	MaxIdleConnections int
-	// Find returns the current life of a target and whether the target is at the
+	// Find returns the current state of a target and whether the target is at the
 	// address. A relay forwards only to addresses that Find confirms.
-	Find    func(target, address string) (roster.Life, bool)
-	Metrics metrics.Registry
-	Log     *log.Logger
+	Find func(target, address string) (roster.Target, bool)
+	// ReportLeaving is called when a target's answer says that it is about to exit.
+	ReportLeaving func(target string, life roster.Life)
+	Metrics       metrics.Registry
+	Log           *log.Logger
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/hornbeamstack/hornbeamstack/internal/hop"
+	"github.com/hornbeamstack/hornbeamstack/pkg/evidence"
+	"github.com/hornbeamstack/hornbeamstack/pkg/roster"
 )
 
 // exchange is a request of an entry host together with its response.
@@ -51,11 +53,17 @@
 		return x.reportFailure(Busy, nil)
 	}
 	defer s.release()
-	life, known := s.config.Find(x.target, x.to.Address)
+	t, known := s.config.Find(x.target, x.to.Address)
 	if !known || x.timeLeft() <= 0 {
 		return x.reportFailure(Busy, nil)
 	}
-	x.to.Start = int64(life)
+	x.to.Start = int64(t.Life)
+	if t.Leaving {
+		return x.reportFailure(Leaving, nil)
+	}
+	if s.pauses.Left(s.now(), x.key()) > 0 {
+		return x.reportFailure(Paused, nil)
+	}
 	ctx, cancel := context.WithTimeout(ctx, x.timeLeft())
 	defer cancel()
 	u, outcome, err := x.connect()
@@ -69,6 +77,7 @@
 		u.Abort()
 		return x.reportFailure(outcome, r.Err)
 	}
+	x.observe(&r.Answer)
 	if err := x.relayResponse(ctx, r.Response); err != nil {
 		u.Abort()
 		x.log("relayed answer broke off", err)
@@ -83,6 +92,22 @@
 	return x.session.writer.Flush() == nil
 }
 
+// key identifies the target's incarnation.
+func (x *exchange) key() evidence.Key { return evidence.Key{Name: x.target, Life: x.to.Start} }
+
+// observe acts on what an answer says about its target: that it is about to exit, or
+// wants no requests from this relay for some time.
+func (x *exchange) observe(a *hop.Answer) {
+	s := x.session.server
+	if a.RetryAfter > 0 {
+		s.count("relay.target_pauses")
+		s.pauses.Add(s.now(), x.key(), a.RetryAfter)
+	}
+	if a.Leaving {
+		s.config.ReportLeaving(x.target, roster.Life(x.to.Start))
+	}
+}
+
 // reportMargin is reserved for telling the entry host that nothing was sent. A report
 // that arrives after the deadline leaves the entry host not knowing whether the
 // request ran.
@@ -174,6 +199,10 @@
 	}
 	header := http.Header{}
 	header.Set(HeaderOutcome, string(outcome))
+	if outcome == Paused {
+		left := s.server.pauses.Left(s.server.now(), x.key())
+		header.Set(HeaderPause, strconv.FormatInt(left.Milliseconds(), 10))
+	}
 	header.Set("Content-Length", "0")
 	s.server.config.Codec.Echo(header, x.call.ID)
 	if err := writeHead(s.writer, http.StatusBadGateway, header); err != nil {
--- a/internal/relay/headers.go
+++ b/internal/relay/headers.go
@@ -1,6 +1,10 @@
 package relay
 
-import "net/http"
+import (
+	"net/http"
+	"strconv"
+	"time"
+)
 
 // Headers of a request to a relay.
 const (
@@ -20,9 +24,22 @@
 // Outcome.
 const HeaderOutcome = "Hornbeam-Outcome"
 
+// HeaderPause is the time in milliseconds for which the target wants no requests from
+// the relay. It is set with the outcome Paused.
+const HeaderPause = "Hornbeam-Pause"
+
+// PauseLeft returns the time in HeaderPause, 0 if there is none.
+func PauseLeft(h http.Header) time.Duration {
+	ms, err := strconv.ParseInt(h.Get(HeaderPause), 10, 32)
+	if err != nil || ms < 0 {
+		return 0
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
 // Strip removes the headers that are used only between entry hosts and relays.
 func Strip(h http.Header) {
-	for _, name := range []string{HeaderTarget, HeaderAddress, HeaderRepeatable, HeaderRate, HeaderBulk, HeaderOutcome} {
+	for _, name := range []string{HeaderTarget, HeaderAddress, HeaderRepeatable, HeaderRate, HeaderBulk, HeaderOutcome, HeaderPause} {
 		h.Del(name)
 	}
 }
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -12,6 +12,11 @@
 	// Unreached means that no connection to the target could be opened, by this request
 	// or by others just before. Nothing was sent.
 	Unreached Outcome = "unreached"
+	// Leaving means that the target is about to exit. Nothing was sent.
+	Leaving Outcome = "leaving"
+	// Paused means that the target has asked this relay to send no requests for the time
+	// in HeaderPause. Nothing was sent.
+	Paused Outcome = "paused"
 	// Broken means that the request was sent and its response was lost.
 	Broken Outcome = "broken"
 	// TimedOut means that the request's deadline passed before a response arrived.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -36,7 +36,9 @@
 }
 
 func (testCodec) Answer(_ int, h http.Header) hop.Answer {
-	return hop.Answer{ID: h.Get("Id"), Signed: true, NotExecuted: h.Get("Not-Run") != ""}
+	pause, _ := strconv.Atoi(h.Get("Pause"))
+	return hop.Answer{ID: h.Get("Id"), Signed: true, NotExecuted: h.Get("Not-Run") != "", Leaving: h.Get("Leaving") != "",
+		RetryAfter: time.Duration(pause) * time.Millisecond}
 }
 func (testCodec) Refuse(http.Header, time.Duration) {}
 func (testCodec) Echo(h http.Header, id string)     { h.Set("Id", id) }
@@ -47,12 +49,14 @@
 	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", r.Header.Get("Id"), len(body), body)
 }
 
-// startRelay starts a relay that knows the target "t", at any address.
+// startRelay starts a relay that knows the target "t", at any address, as leaving once
+// that was reported.
 func startRelay(t *testing.T) (*Server, string) {
 	t.Helper()
-	s := New(Config{Codec: testCodec{}, MaxIdleConnections: 100, Find: func(name, _ string) (roster.Life, bool) {
-		return 1, name == "t"
-	}, Metrics: metrics.NewRegistry(), Log: log.New(io.Discard)})
+	var leaving atomic.Bool
+	s := New(Config{Codec: testCodec{}, MaxIdleConnections: 100, Find: func(name, _ string) (roster.Target, bool) {
+		return roster.Target{Announcement: roster.Announcement{Name: name, Life: 1, Leaving: leaving.Load()}}, name == "t"
+	}, ReportLeaving: func(string, roster.Life) { leaving.Store(true) }, Metrics: metrics.NewRegistry(), Log: log.New(io.Discard)})
 	return s, listen(t, s)
 }
 
@@ -383,8 +387,8 @@
 // After the restart the host resets them, so a request sent on one would be lost.
 func TestTargetConnectionsEndWithTheirTarget(t *testing.T) {
 	var life atomic.Int64
-	s := New(Config{Codec: testCodec{}, MaxIdleConnections: 100, Find: func(string, string) (roster.Life, bool) {
-		return roster.Life(life.Load()), true
+	s := New(Config{Codec: testCodec{}, MaxIdleConnections: 100, Find: func(string, string) (roster.Target, bool) {
+		return roster.Target{Announcement: roster.Announcement{Life: roster.Life(life.Load())}}, true
 	}, Metrics: metrics.NewRegistry(), Log: log.New(io.Discard)})
 	e := dialRelay(t, listen(t, s))
 	line := nettest.NewPowerLossProxy(t, nettest.StartTarget(t, echo).Address())
@@ -426,3 +430,39 @@
 		}
 	}
 }
+
+// A target that says in an answer that it is about to exit, or asks for a pause, must
+// get no later request from the relay, whichever entry host sends it.
+func TestTargetsThatWantNoRequests(t *testing.T) {
+	for _, test := range []struct {
+		name, header string
+		outcome      Outcome
+		paused       bool // the outcome tells for how long
+	}{
+		{"leaving", "Leaving: 1", Leaving, false},
+		{"pause", "Pause: 60000", Paused, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			_, address := startRelay(t)
+			target := nettest.StartTarget(t, func(_ *nettest.Target, conn net.Conn, r *http.Request) {
+				fmt.Fprintf(conn, "HTTP/1.1 503 Unavailable\r\nId: %s\r\nNot-Run: 1\r\n%s\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Id"), test.header)
+			})
+			first, second := dialRelay(t, address), dialRelay(t, address)
+			first.send("1", "t", target.Address(), "", time.Second)
+			if r, _ := first.read(); r.StatusCode != 503 {
+				t.Fatalf("the first request got %d", r.StatusCode)
+			}
+			second.send("2", "t", target.Address(), "", time.Second)
+			r, _ := second.read()
+			if got := Outcome(r.Header.Get(HeaderOutcome)); got != test.outcome {
+				t.Errorf("the second request has the outcome %q, want %q", got, test.outcome)
+			}
+			if left := PauseLeft(r.Header); (left > 50*time.Second) != test.paused {
+				t.Errorf("the second request is told a pause of %v", left)
+			}
+			if n := len(target.Requests()); n != 1 {
+				t.Errorf("the target got %d requests, want 1", n)
+			}
+		})
+	}
+}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/hornbeamstack/hornbeamstack/internal/hop"
 	"github.com/hornbeamstack/hornbeamstack/internal/telemetry"
+	"github.com/hornbeamstack/hornbeamstack/pkg/evidence"
 )
 
 const (
@@ -28,6 +29,7 @@
 	pool        *hop.Pool
 	pacers      *pacers
 	dialBreaker *dialBreaker
+	pauses      *evidence.Pauses
 	sampler     *telemetry.Sampler
 
 	stopping atomic.Bool
@@ -36,7 +38,7 @@
 
 // New returns a relay. Serve starts it.
 func New(c Config) *Server {
-	s := &Server{config: c, start: time.Now(), pacers: newPacers(), dialBreaker: newDialBreaker(), sampler: telemetry.NewSampler()}
+	s := &Server{config: c, start: time.Now(), pacers: newPacers(), dialBreaker: newDialBreaker(), pauses: evidence.NewPauses(), sampler: telemetry.NewSampler()}
 	s.pool = hop.NewPool(c.Codec, s.now, c.MaxIdleConnections)
 	return s
 }
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -186,14 +186,15 @@
 	return names
 }
 
-// Forget drops the targets without an announcement for the retention time, and
-// returns their names.
+// Forget drops the silent and the leaving targets without an announcement for the
+// retention time, and returns their names. A host that is told only of changes hears
+// nothing of the others.
 func (r *Roster) Forget(now time.Duration) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var names []string
 	for name, t := range r.targets {
-		if now-t.LastHeard < r.retention {
+		if now-t.LastHeard < r.retention || !t.Silent && !t.Leaving {
 			continue
 		}
 		names = append(names, name)
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -94,6 +94,11 @@
 	if !r.Apply(11*time.Second, report) {
 		t.Error("an announcement of a silent target was not reported as a change")
 	}
+	// An entry host hears nothing of a target that does not change.
+	if names := r.Forget(80 * time.Second); len(names) != 0 {
+		t.Errorf("Forget dropped %v, which is not silent", names)
+	}
+	r.MarkSilent(80*time.Second, 5*time.Second)
 	if names := r.Forget(80 * time.Second); len(names) != 1 {
 		t.Errorf("Forget dropped %v, want the one target", names)
 	}
