Send policies as differences, from one control host, beside requests

Change: pulls carry the number of the newest version only. Hosts of earlier versions work on: they get documents in replies, and send them so.

--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -41,6 +41,7 @@
 	changed       *notifier
 	targetMonitor *targetMonitor
 	departures    *departureQueue
+	documents     documents
 
 	documentAppliedAt atomic.Int64 // when the document in force was applied, in nanoseconds since start; 0 if before start
 
@@ -65,6 +66,7 @@
 	n.otherControls = newControlTable(n.self, c.Seeds)
 	n.machine = desired.New(n.onApplied)
 	peer.Register(c.Server, fleet.MethodPull, n.pull)
+	peer.Register(c.Server, fleet.MethodDocument, n.handleDocument)
 	peer.Register(c.Server, fleet.MethodExchange, n.handleExchange)
 	peer.Register(c.Server, fleet.MethodSubmit, n.handleSubmit)
 	n.tasks.Go(func() { n.runGroup(ctx) })
@@ -90,6 +92,7 @@
 		n.config.Log.Info("target leaves", "target", c.Departure.Name, "life", c.Departure.Life)
 	case c.Document != nil:
 		n.documentAppliedAt.Store(int64(n.now()))
+		n.documents.add(c.Document.Body)
 		n.config.Log.Info("policy in force", "version", c.Document.Version, "bytes", len(c.Document.Body))
 	case c.Evacuate != "":
 		n.config.Log.Info("availability zone evacuated", "zone", c.Evacuate)
--- a/internal/core/pull.go
+++ b/internal/core/pull.go
@@ -49,11 +49,14 @@
 	state, _ := n.machine.State()
 	reply = fleet.PullReply{Fresh: n.fresh(), Index: state.OrdersIndex, Epoch: n.epoch}
 	if state.Document.Version > req.Version {
-		reply.Document = &state.Document
 		if at := time.Duration(n.documentAppliedAt.Load()); at > 0 {
 			reply.DocumentAge = now - at
 		}
-		urgent = true
+		reply.Newest = state.Document.Version
+		if !req.Fetches {
+			reply.Document = &state.Document
+		}
+		urgent = !req.Fetches || state.Document.Version > req.Known
 	}
 	if state.OrdersIndex > req.Orders {
 		orders := state.OrdersSince(req.Orders)
--- a/internal/fleet/pull.go
+++ b/internal/fleet/pull.go
@@ -28,6 +28,10 @@
 	// Leaving holds departures that targets told in their answers, and that the orders
 	// held do not contain.
 	Leaving []desired.Departure `cbor:"11,keyasint,omitempty"`
+	// Fetches says that the host fetches documents with MethodDocument, so that replies
+	// carry only their version. Known is the newest version that it was told.
+	Fetches bool           `cbor:"12,keyasint,omitempty"`
+	Known   policy.Version `cbor:"13,keyasint,omitempty"`
 }
 
 // PullReply carries what the entry host lacks.
@@ -35,7 +39,10 @@
 	// Fresh reports whether the control host is in contact with a majority.
 	Fresh    bool              `cbor:"1,keyasint"`
 	Document *desired.Document `cbor:"2,keyasint,omitempty"`
-	// DocumentAge is the time since Document came into force at the control
+	// Newest is the version of the newest document. It replaces Document for hosts that
+	// fetch it.
+	Newest policy.Version `cbor:"17,keyasint,omitempty"`
+	// DocumentAge is the time since the newest document came into force at the control
 	// host, 0 if that was before the control host started.
 	DocumentAge time.Duration   `cbor:"16,keyasint,omitempty"`
 	Orders      *desired.Orders `cbor:"3,keyasint,omitempty"`
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -23,10 +23,11 @@
 	RetryRatio         float64           // retries per request of a service, over all entry hosts
 	RetrySlack         float64           // retries per RetryWindow allowed in addition, over all entry hosts
 	RetryWindow        time.Duration
-	ColdOverage        float64 // factor on the stated request rate of a cold target
-	ColdSlack          float64 // requests a second that a cold target tolerates in addition
-	MaxIdleConnections int     // idle connections to targets and relays that are kept
-	LinkRate           float64 // capacity of this host's link in bytes a second, 0 if unknown
+	ColdOverage        float64       // factor on the stated request rate of a cold target
+	ColdSlack          float64       // requests a second that a cold target tolerates in addition
+	MaxIdleConnections int           // idle connections to targets and relays that are kept
+	ApplyLimit         time.Duration // time in which a policy has to be in force, 0 if not stated
+	LinkRate           float64       // capacity of this host's link in bytes a second, 0 if unknown
 	Codec              hop.Codec
 	Decode             func(body []byte) (*policy.Policy, finding.List)
 	Client             *peer.Client
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -8,6 +8,7 @@
 	"github.com/hornbeamstack/hornbeamstack/internal/fleet"
 	"github.com/hornbeamstack/hornbeamstack/internal/peer"
 	"github.com/hornbeamstack/hornbeamstack/internal/wait"
+	"github.com/hornbeamstack/hornbeamstack/pkg/policy"
 )
 
 const (
@@ -38,6 +39,9 @@
 	lastAnswer   time.Duration // last reply while in contact with a majority, 0 if there was none
 	backoffUntil time.Duration // set aside until then, unless all others are too
 	lastFailure  time.Duration // last failure, 0 if there was none
+	// fetchBackoffUntil is when documents are fetched from the control host again.
+	fetchBackoffUntil time.Duration
+	newest            policy.Version // newest version that the control host offered
 }
 
 // watch keeps the view up to date with pulls from a few control hosts.
@@ -51,15 +55,20 @@
 	// departures are reported to the control hosts until their orders contain them.
 	departures *departures
 
-	mu        sync.Mutex
-	controls  map[string]*controlState
-	digest    uint64        // of the list of control hosts held
-	lastFresh time.Duration // last reply of a control host in contact with a majority
-	contact   contactLog
+	mu          sync.Mutex
+	controls    map[string]*controlState
+	digest      uint64        // of the list of control hosts held
+	lastFresh   time.Duration // last reply of a control host in contact with a majority
+	contact     contactLog
+	fetcher     *documentFetcher
+	newest      policy.Version // newest version that any control host offered
+	newestSince time.Duration  // when it came into force at a control host, 0 if not known
+	rejected    policy.Version // newest version that cannot be read
 }
 
 func newWatch(c *Config, v *view, now func() time.Duration, self func() fleet.Entry, r *reports, d *departures, m *meters) *watch {
 	w := &watch{config: c, view: v, now: now, self: self, reports: r, departures: d, meters: m, controls: map[string]*controlState{}}
+	w.fetcher = newDocumentFetcher(w)
 	w.setSeeds(c.Seeds)
 	return w
 }
@@ -78,6 +87,7 @@
 // run pulls from control hosts until ctx ends.
 func (w *watch) run(ctx context.Context) {
 	var wg sync.WaitGroup
+	wg.Go(func() { w.fetcher.run(ctx) })
 	for range watchers {
 		wg.Go(func() { w.watchOne(ctx) })
 	}
@@ -106,7 +116,8 @@
 	self := w.self()
 	w.mu.Lock()
 	req := fleet.PullRequest{Entry: self, Version: version, Orders: orders, Epoch: c.epoch, Revision: c.revision,
-		Controls: w.digest, Wait: pullWait, Reports: w.reports.take(c.control.Peer), StateNumber: c.states, Leaving: w.departures.list()}
+		Controls: w.digest, Wait: pullWait, Reports: w.reports.take(c.control.Peer), StateNumber: c.states, Leaving: w.departures.list(),
+		Fetches: true, Known: c.newest}
 	address := c.control.Peer
 	w.mu.Unlock()
 	call, cancel := context.WithTimeout(ctx, pullTimeout)
@@ -157,6 +168,7 @@
 	if reply.Orders != nil && w.view.setOrders(reply.Index, reply.Orders) {
 		w.config.Log.Info("orders in force", "index", reply.Index, "evacuated", reply.Orders.Evacuated, "departures", len(reply.Orders.Departures))
 	}
+	w.offer(c, reply)
 	if reply.Orders != nil {
 		w.departures.confirm(reply.Orders.Departures)
 	}
@@ -177,6 +189,79 @@
 	}
 }
 
+// offer records the version that a control host offers.
+func (w *watch) offer(c *controlState, reply *fleet.PullReply) {
+	if reply.Newest == 0 {
+		return
+	}
+	w.mu.Lock()
+	c.newest = max(c.newest, reply.Newest)
+	if reply.Newest > w.newest {
+		w.newest, w.newestSince = reply.Newest, 0
+		if reply.DocumentAge > 0 {
+			w.newestSince = w.now() - reply.DocumentAge
+		}
+	}
+	w.mu.Unlock()
+	w.fetcher.offered()
+}
+
+// outdated reports whether a newer version than the one in force is offered.
+func (w *watch) outdated() bool {
+	held, _ := w.view.versions()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.newest > max(held, w.rejected)
+}
+
+// policyLag returns how long ago a version came into force at a control host, 0 if that
+// is not known.
+func (w *watch) policyLag(version policy.Version) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if version != w.newest || w.newestSince == 0 {
+		return 0
+	}
+	return w.now() - w.newestSince
+}
+
+// rejectDocument records a version that cannot be read, so that it is not fetched again.
+func (w *watch) rejectDocument(version policy.Version) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.rejected = max(w.rejected, version)
+}
+
+// documentSource returns the peer address of the nearest watched control host that
+// offers a newer version than the one in force, empty if there is none.
+func (w *watch) documentSource() string {
+	held, _ := w.view.versions()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	offers := func(c *controlState) bool { return c.watched && c.newest > held }
+	usable := func(c *controlState) bool { return offers(c) && w.now() >= c.fetchBackoffUntil }
+	c := w.best(usable)
+	if c == nil {
+		c = w.best(offers)
+	}
+	if c == nil {
+		return ""
+	}
+	return c.control.Peer
+}
+
+// documentFailed makes the other watched control host the source of documents for a
+// time.
+func (w *watch) documentFailed(source string, err error) {
+	w.mu.Lock()
+	if c, ok := w.controls[source]; ok {
+		c.fetchBackoffUntil = w.now() + unreachableBackoff
+	}
+	w.mu.Unlock()
+	w.meters.count("policy.fetch_failed")
+	w.config.Log.Warn("part of the policy not fetched", "control", source, "err", err)
+}
+
 // setControls adds and updates the control hosts of a reply; the lock is held.
 func (w *watch) setControls(reply *fleet.PullReply) {
 	w.digest = reply.ControlsDigest
--- a/internal/platformnode/gateway.go
+++ b/internal/platformnode/gateway.go
@@ -21,6 +21,7 @@
 		RetryWindow: s.BoundDuration("BudgetWindowS", 10*time.Second),
 		ColdOverage: s.Bound("ColdOverage", 1), ColdSlack: s.Bound("ColdSlack", 0),
 		MaxIdleConnections: s.MaxIdleConnections(),
+		ApplyLimit:         s.BoundDuration("ConfigApplyS", 0),
 		LinkRate:           s.Limits.LinkMbps * 1e6 / 8,
 		Codec:              platform.Codec{}, Decode: platform.DecodePolicy, Client: p.client, Log: p.log,
 	})
