--- a/internal/platformnode/core.go
+++ b/internal/platformnode/core.go
@@ -41,6 +41,7 @@
 		return err
 	}
 	p.log.Info("control host started", "zone", s.Zone, "region", s.Region, "seeds", s.Seeds, "first", s.Bootstrap, "relay", s.RelayAddress())
+	p.logUnusableSeeds(s)
 	go p.reloadLoop(func(s *platform.Settings) { n.SetSeeds(s.SeedPeers()) })
 	p.awaitStop()
 	r.Stop(p.stopTimeout())
--- a/internal/platformnode/gateway.go
+++ b/internal/platformnode/gateway.go
@@ -37,6 +37,7 @@
 	}
 	p.log.Info("entry host started", "zone", s.Zone, "region", s.Region, "front", s.Listen.Front, "seeds", s.Seeds)
 	go g.Run(p.ctx, front)
+	p.logUnusableSeeds(s)
 	go p.reloadLoop(func(s *platform.Settings) { g.SetSeeds(s.SeedPeers()) })
 	p.awaitStop()
 	g.Stop(p.stopTimeout())
--- a/internal/platformnode/reload.go
+++ b/internal/platformnode/reload.go
@@ -42,10 +42,18 @@
 			continue
 		}
 		p.log.Info("settings reloaded", "reason", reason, "seeds", s.Seeds)
+		p.logUnusableSeeds(s)
 		apply(s)
 	}
 }
 
+// logUnusableSeeds logs the seeds that are skipped because they are malformed.
+func (p *process) logUnusableSeeds(s *platform.Settings) {
+	if unusable := s.UnusableSeeds(); len(unusable) > 0 {
+		p.log.Warn("seeds skipped that are not of the form IP:port", "seeds", unusable)
+	}
+}
+
 // modTime returns the modification time of a file, or the zero time if os.Stat fails.
 func modTime(file string) time.Time {
 	info, err := os.Stat(file)
--- a/pkg/policy/policy.go
+++ b/pkg/policy/policy.go
@@ -36,7 +36,7 @@
 	Routes   []Route
 	Services map[string]Service
 
-	hosts map[string][]*Route // routes by host in lower case
+	hosts map[string]*hostRoutes // by host in lower case
 	// priorities holds the priorities of the routes to each service, ascending.
 	priorities map[string][]int
 }
@@ -50,13 +50,11 @@
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
 	}
-	var best *Route
-	for _, r := range p.hosts[strings.ToLower(host)] {
-		if strings.HasPrefix(path, r.Prefix) && (best == nil || len(r.Prefix) > len(best.Prefix)) {
-			best = r
-		}
+	h, ok := p.hosts[strings.ToLower(host)]
+	if !ok {
+		return nil
 	}
-	return best
+	return h.match(path)
 }
 
 // PriorityRank returns the rank of a route's priority among the distinct priorities
@@ -70,11 +68,14 @@
 // Index builds the lookup tables for Match and PriorityRank. It is called once
 // after the routes are set.
 func (p *Policy) Index() {
-	p.hosts, p.priorities = map[string][]*Route{}, map[string][]int{}
+	p.hosts, p.priorities = map[string]*hostRoutes{}, map[string][]int{}
 	for i := range p.Routes {
 		r := &p.Routes[i]
 		host := strings.ToLower(r.Host)
-		p.hosts[host] = append(p.hosts[host], r)
+		if p.hosts[host] == nil {
+			p.hosts[host] = &hostRoutes{prefixes: map[string]*Route{}}
+		}
+		p.hosts[host].add(r)
 		for _, s := range r.Shares {
 			if at, found := slices.BinarySearch(p.priorities[s.Service], r.Priority); !found {
 				p.priorities[s.Service] = slices.Insert(p.priorities[s.Service], at, r.Priority)
