End an attempt whose permit is lost before the caller's first byte

Cause: the loss of a permit was watched only after the start of a response of known length had been buffered, and a claimed request whose caller had left had no limit in that phase. A target that stalled there kept a slot that the coordinator had given away. TestPermitLostBeforeFirstByte hung before.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -20,7 +20,7 @@
 	"github.com/hornbeamstack/hornbeamstack/pkg/slots"
 )
 
-// errPermitLost cancels an attempt whose permit was lost while the response streamed.
+// errPermitLost cancels an attempt whose permit was lost after the response began.
 var errPermitLost = errors.New("the slot was given up because its coordinator could not be reached")
 
 // errDeadline cancels an attempt whose response header did not arrive by the request's deadline.
--- a/internal/entry/deliver.go
+++ b/internal/entry/deliver.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"time"
@@ -15,6 +16,8 @@
 	a.permit.Started()
 	s := &stream{x: x, a: a, response: response, record: newRecorder(x.claim != nil, response)}
 	defer s.close()
+	defer a.endIfLost()()
+	defer s.limitRecording()()
 	buf := takeBuffer()
 	defer giveBuffer(buf)
 	if response.ContentLength >= 0 {
@@ -25,7 +28,6 @@
 			return problem
 		}
 	}
-	defer a.endIfLost()()
 	s.writeHeader()
 	s.copyBody(*buf)
 	return nil
@@ -141,11 +143,23 @@
 // after the caller has left.
 const recordTimeout = 30 * time.Second
 
+// limitRecording ends the attempt of a claimed request recordTimeout after its caller
+// has left; other attempts end with their caller. It does so also while the start of
+// the response is buffered, when nothing is written that would fail.
+func (s *stream) limitRecording() (stop func() bool) {
+	if s.x.claim == nil {
+		return func() bool { return true }
+	}
+	return context.AfterFunc(s.x.ctx, func() {
+		time.AfterFunc(recordTimeout, func() { s.a.cancel(nil) }) // no effect once the attempt has ended
+	})
+}
+
 // callerLost handles a caller that closed its connection. The answer of a
 // claimed request is first read to its end if it can be recorded; then
 // callerLost panics with http.ErrAbortHandler.
 func (s *stream) callerLost(buf []byte) {
-	timer := time.AfterFunc(recordTimeout, func() { s.a.cancel(nil) })
+	timer := time.AfterFunc(recordTimeout, func() { s.a.cancel(nil) }) // a failed write may come before the end of the caller's context
 	defer timer.Stop()
 	for buf != nil && s.x.claim != nil && !s.ended && !s.record.dropped {
 		if _, err := s.read(buf); err != nil {
