End one request, not the process, when its handling panics

A panic in the goroutine of a request, a caller's connection, a response or a relayed request ended the process with all others. It is logged with its stack and counted now (panics, relay.panics); the caller gets 502 or a closed connection. Handlers of agreement, claims and leases are left as they are: a process whose durable state may be half changed restarts from its disk.

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -66,6 +66,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
+		defer c.endOnPanic("writing answers")
 		c.writeAnswers()
 	}()
 	c.readRequests()
@@ -79,6 +80,7 @@
 // the connection is closing. It reads the next request once the body of the last
 // one has been read.
 func (c *callerConn) readRequests() {
+	defer c.endOnPanic("reading requests")
 	for {
 		request, err := c.readRequest()
 		if err != nil {
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -25,16 +25,25 @@
 type fakeCodec struct{}
 
 func (fakeCodec) Call(h http.Header) hop.Call {
+	if h.Get("Panic") == "call" {
+		panic("a test asked for it")
+	}
 	ms, _ := strconv.Atoi(h.Get("Left"))
 	return hop.Call{ID: h.Get("Id"), Object: h.Get("Object"), TimeLeft: time.Duration(ms) * time.Millisecond}
 }
 
 func (fakeCodec) Forward(h http.Header, left time.Duration, target string) {
+	if h.Get("Panic") == "forward" {
+		panic("a test asked for it")
+	}
 	h.Set("Left", strconv.FormatInt(left.Milliseconds(), 10))
 	h.Set("Target", target)
 }
 
 func (fakeCodec) Answer(status int, h http.Header) hop.Answer {
+	if h.Get("Panic") == "answer" {
+		panic("a test asked for it")
+	}
 	pause, _ := strconv.Atoi(h.Get("Pause"))
 	return hop.Answer{ID: h.Get("Id"), Signed: h.Get("Unsigned") == "", NotExecuted: h.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest,
 		Leaving: h.Get("Leaving") != "", RetryAfter: time.Duration(pause) * time.Millisecond}
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -21,6 +21,11 @@
 // the body, the body is marked as done, so that the next request can be read. The
 // connection closes if bytes of the body are still unread.
 func (g *Gateway) handle(x *exchange) {
+	defer func() {
+		if value := recover(); value != nil {
+			g.answerPanic(x, value)
+		}
+	}()
 	r := g.respond(x)
 	if x.body.unread() {
 		r.close = true
--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -37,6 +37,9 @@
 	ErrWrongAnswer = errors.New("the target sent a response to another request")
 )
 
+// errPanic is returned when a response could not be processed.
+var errPanic = errors.New("panic while the response was read")
+
 // Conn is an HTTP/1.1 connection that carries one request at a time.
 type Conn struct {
 	to        Endpoint
@@ -125,7 +128,13 @@
 
 // readResponse reads the response to a request. It skips informational responses
 // and late responses to earlier requests.
-func (u *Conn) readResponse(request *http.Request, id string) Result {
+func (u *Conn) readResponse(request *http.Request, id string) (result Result) {
+	defer func() {
+		if value := recover(); value != nil {
+			// One odd response must not end the process with all other requests.
+			result = Result{Err: fmt.Errorf("%w: %v", errPanic, value)}
+		}
+	}()
 	for range maxSkippedResponses {
 		response, err := u.readHead(request)
 		if err != nil {
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime/debug"
 )
 
 const (
@@ -36,7 +37,13 @@
 
 // serve handles requests until the entry host closes the connection or ctx ends.
 func (s *session) serve(ctx context.Context) {
-	defer func() { _ = s.conn.Close() }()
+	defer func() {
+		if value := recover(); value != nil {
+			s.server.count("relay.panics")
+			s.server.config.Log.Error("panic", "during", "relayed request", "entry", s.host, "value", value, "stack", string(debug.Stack()))
+		}
+		_ = s.conn.Close()
+	}()
 	defer context.AfterFunc(ctx, func() { _ = s.conn.Close() })()
 	for {
 		request, err := http.ReadRequest(s.reader)
