Await answers for a round trip after a route's timeout

Change: the relay awaits an answer for 60 ms and the entry host for 100 ms after the timeout, unless the caller's own limit ends first. Targets are given no more time than before.

--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -33,7 +33,8 @@
 	gateway        *Gateway
 	exchange       *exchange
 	service        string
-	deadline       time.Duration
+	deadline       time.Duration // until which targets may work on the request
+	answerLimit    time.Duration // until which an answer is awaited
 	tried          map[string]bool
 	via            way           // of the last attempt
 	noRelay        bool          // a relay has failed: the remaining attempts go directly to targets
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -51,6 +51,7 @@
 	pauses        *evidence.Pauses
 	departures    *departures
 	meters        *meters
+	answerGrace   time.Duration // how long answers are awaited after a route's timeout
 
 	stopCalled atomic.Bool
 	mu         sync.Mutex
@@ -63,7 +64,7 @@
 	g := &Gateway{config: c, log: c.Log, start: time.Now(), started: time.Now().UnixNano(),
 		evidenceStore: evidence.NewStore(), callers: map[*callerConn]bool{}, splits: newSplitters(),
 		reports: newReports(), balance: affinity.NewBalancer(), gate: admission.NewGate(), timeouts: newTimeouts(),
-		pauses: evidence.NewPauses(), departures: newDepartures(), meters: newMeters()}
+		pauses: evidence.NewPauses(), departures: newDepartures(), meters: newMeters(), answerGrace: defaultAnswerGrace}
 	g.downloadLimit = newDownloads(c.LinkRate)
 	g.view = newView(&g.config)
 	g.watch = newWatch(&g.config, g.view, g.now, g.self, g.reports, g.departures, g.meters)
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -13,6 +13,10 @@
 	maxNotRunAttempts = 3
 	// refusalPause is the time after which a refused caller is asked to retry.
 	refusalPause = 300 * time.Millisecond
+	// defaultAnswerGrace is how long an answer is awaited after the route's timeout. The
+	// target counts its time from the arrival of the request, so that an answer that it
+	// finished in time arrives later by a round trip. It exceeds the relay's own grace.
+	defaultAnswerGrace = 100 * time.Millisecond
 	// minTimeLeft is the time before the deadline below which no retry is made.
 	minTimeLeft = 20 * time.Millisecond
 )
@@ -74,8 +78,10 @@
 	service := g.splits.destination(x.route)
 	g.budgets.request(service, g.now())
 	d := &delivery{gateway: g, exchange: x, service: service, tried: map[string]bool{}, deadline: x.received + x.route.Timeout}
+	d.answerLimit = d.deadline + g.answerGrace
 	if x.call.TimeLeft > 0 {
 		d.deadline = min(d.deadline, x.received+x.call.TimeLeft)
+		d.answerLimit = min(d.answerLimit, x.received+x.call.TimeLeft)
 	}
 	if g.meters.sampler.Routine(x.call.ID) {
 		g.log.Info("request accepted", "id", x.call.ID, "route", x.route.Name, "kind", x.route.Kind, "service", service,
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -38,7 +38,7 @@
 		x.body.markStarted()
 		go func() { sent <- writeRequest(u, request, x.body); x.body.markDone() }()
 	}
-	timer := time.NewTimer(left)
+	timer := time.NewTimer(d.answerLimit - g.now())
 	defer timer.Stop()
 	select {
 	case r := <-responses:
@@ -200,7 +200,7 @@
 		if d.exchange.ctx.Err() != nil {
 			return attempt{outcome: callerLeft}
 		}
-		if d.gateway.now() >= d.deadline {
+		if d.gateway.now() >= d.answerLimit {
 			return attempt{outcome: timedOut}
 		}
 		return attempt{outcome: broken, err: err}
@@ -222,11 +222,11 @@
 	return attempt{outcome: answered, reply: reply, released: true}
 }
 
-// watchCaller closes the connection when the caller leaves or the deadline passes.
+// watchCaller closes the connection when the caller leaves or the answer comes too late.
 // If stop returns true, the connection was not closed and may be reused.
 func (d *delivery) watchCaller(u *hop.Conn) (stop func() bool) {
 	forget := context.AfterFunc(d.exchange.ctx, u.Close)
-	timer := time.AfterFunc(d.deadline-d.gateway.now(), u.Close)
+	timer := time.AfterFunc(d.answerLimit-d.gateway.now(), u.Close)
 	return func() bool {
 		inTime := timer.Stop()
 		return forget() && inTime
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -30,7 +30,7 @@
 	} else if response.ContentLength >= 0 && response.StatusCode != http.StatusNoContent {
 		header.Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
 	}
-	_ = s.conn.SetWriteDeadline(time.Now().Add(x.timeLeft())) // if the connection has ended, the write fails
+	_ = s.conn.SetWriteDeadline(time.Now().Add(x.answerTimeLeft())) // if the connection has ended, the write fails
 	if err := writeHead(s.writer, response.StatusCode, header); err != nil {
 		return err
 	}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -44,6 +44,14 @@
 	return x.call.TimeLeft - (x.session.server.now() - x.received)
 }
 
+// answerGrace is how long an answer is awaited after the request's deadline. The target
+// counts the deadline from the arrival of the request, so that an answer that it finished
+// in time arrives later by a round trip.
+const answerGrace = 60 * time.Millisecond
+
+// answerTimeLeft returns the time until which an answer is awaited.
+func (x *exchange) answerTimeLeft() time.Duration { return x.timeLeft() + answerGrace }
+
 // run forwards the request and returns the response. It reports whether the
 // connection to the entry host can be used again.
 func (x *exchange) run(ctx context.Context) bool {
@@ -64,7 +72,7 @@
 	if s.pauses.Left(s.now(), x.key()) > 0 {
 		return x.reportFailure(Paused, nil)
 	}
-	ctx, cancel := context.WithTimeout(ctx, x.timeLeft())
+	ctx, cancel := context.WithTimeout(ctx, x.answerTimeLeft())
 	defer cancel()
 	u, outcome, err := x.connect()
 	if err != nil {
