Compute differences of policies without holding up their application

The lock of the kept documents was held while a difference was computed, for which the agreement's applier would wait.

--- a/internal/core/documents.go
+++ b/internal/core/documents.go
@@ -40,20 +40,18 @@
 // documents encodes the newest policy document as the difference to earlier ones. It is
 // safe for concurrent use.
 type documents struct {
-	mu        sync.Mutex // also held while encoding, so that one difference is computed at a time
+	encoding sync.Mutex // held while a difference is computed, so that one is at a time
+
+	mu        sync.Mutex // of the lists; never held while a difference is computed
 	bases     []base     // newest last
 	encodings []*encoding
 }
 
-// add keeps a document as a base for later ones.
+// add keeps a document as a base for later ones, unless it is the newest already.
 func (s *documents) add(body []byte) {
+	digest := delta.Digest(body)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.addBase(delta.Digest(body), body)
-}
-
-// addBase keeps a document unless it is the newest already. The caller holds mu.
-func (s *documents) addBase(digest uint64, body []byte) {
 	if n := len(s.bases); n > 0 && s.bases[n-1].digest == digest {
 		return
 	}
@@ -77,8 +75,6 @@
 // part returns the requested part of the newest document, or of an older one whose
 // transfer has begun.
 func (s *documents) part(newest *desired.Document, req fleet.DocumentRequest) (fleet.DocumentReply, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	e := s.find(func(e *encoding) bool { return req.Transfer != 0 && e.reply.Transfer == req.Transfer })
 	offset := req.Offset
 	if e == nil || offset < 0 || offset > len(e.data) {
@@ -93,8 +89,10 @@
 	return reply, nil
 }
 
-// find returns the newest encoding that fits, nil if there is none. The caller holds mu.
+// find returns the newest encoding that fits, nil if there is none.
 func (s *documents) find(fits func(*encoding) bool) *encoding {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, e := range slices.Backward(s.encodings) {
 		if fits(e) {
 			return e
@@ -103,15 +101,23 @@
 	return nil
 }
 
+// findBase returns the base with a digest, an empty one if it is not kept.
+func (s *documents) findBase(digest uint64) base {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if i := slices.IndexFunc(s.bases, func(b base) bool { return b.digest == digest }); i >= 0 {
+		return s.bases[i]
+	}
+	return base{}
+}
+
 // encode returns the encoding of a document for a host that holds the document with the
-// digest held. The caller holds mu.
+// digest held.
 func (s *documents) encode(d *desired.Document, held uint64) (*encoding, error) {
-	digest := delta.Digest(d.Body)
-	s.addBase(digest, d.Body)
-	var from base
-	if i := slices.IndexFunc(s.bases, func(b base) bool { return b.digest == held }); i >= 0 {
-		from = s.bases[i]
-	}
+	s.encoding.Lock()
+	defer s.encoding.Unlock()
+	s.add(d.Body)
+	digest, from := delta.Digest(d.Body), s.findBase(held)
 	if e := s.find(func(e *encoding) bool { return e.reply.Digest == digest && e.reply.Base == from.digest }); e != nil {
 		return e, nil
 	}
@@ -121,6 +127,8 @@
 	}
 	e := &encoding{data: data, reply: fleet.DocumentReply{Version: d.Version, Digest: digest, Size: len(d.Body),
 		Base: from.digest, Transfer: max(xxhash.Sum64(data), 1), Total: len(data)}}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.encodings = append(s.encodings, e)
 	s.encodings = dropOldest(s.encodings, maxEncodings, maxEncodingBytes, func(e *encoding) int { return len(e.data) })
 	return e, nil
--- a/internal/gateway/transfer.go
+++ b/internal/gateway/transfer.go
@@ -40,12 +40,12 @@
 // documentFetcher fetches policy documents from one control host at a time, part by
 // part. A transfer that one control host began is continued at another one.
 type documentFetcher struct {
-	watch  *watch
-	wake   chan struct{} // holds a value if a newer version was offered
-	body   []byte        // of the policy in force, nil before the first one
-	digest uint64        // of body, 0 before the first one
-	now    transfer
-	begun  time.Duration // when the fetch of the newest version began
+	watch   *watch
+	wake    chan struct{} // holds a value if a newer version was offered
+	body    []byte        // last document fetched, nil before the first one
+	digest  uint64        // of body; 0 asks for a whole document
+	current transfer
+	begun   time.Duration // when the fetch of the newest version began
 }
 
 func newDocumentFetcher(w *watch) *documentFetcher {
@@ -92,7 +92,7 @@
 	call, cancel := context.WithTimeout(ctx, partTimeout)
 	defer cancel()
 	reply, err := peer.Call[fleet.DocumentRequest, fleet.DocumentReply](call, w.config.Client, source, fleet.MethodDocument,
-		fleet.DocumentRequest{Base: f.digest, Transfer: f.now.head.Transfer, Offset: len(f.now.data)})
+		fleet.DocumentRequest{Base: f.digest, Transfer: f.current.head.Transfer, Offset: len(f.current.data)})
 	if err == nil {
 		err = f.add(&reply)
 	}
@@ -100,7 +100,7 @@
 		w.documentFailed(source, err)
 		return err
 	}
-	if len(f.now.data) < f.now.head.Total {
+	if len(f.current.data) < f.current.head.Total {
 		return f.pace(ctx, len(reply.Part), w.now()-started)
 	}
 	return f.finish(source)
@@ -114,22 +114,22 @@
 	if reply.Total <= 0 || reply.Total > maxDocument || reply.Size > maxDocument {
 		return fmt.Errorf("document of version %d has %d of %d bytes", reply.Version, reply.Total, reply.Size)
 	}
-	if reply.Transfer != f.now.head.Transfer || reply.Base != f.now.head.Base {
-		f.now = transfer{head: *reply}
-		f.now.head.Part = nil
+	if reply.Transfer != f.current.head.Transfer || reply.Base != f.current.head.Base {
+		f.current = transfer{head: *reply}
+		f.current.head.Part = nil
 	}
-	if reply.Offset != len(f.now.data) || len(reply.Part) == 0 || len(f.now.data)+len(reply.Part) > reply.Total {
-		f.now = transfer{}
+	if reply.Offset != len(f.current.data) || len(reply.Part) == 0 || len(f.current.data)+len(reply.Part) > reply.Total {
+		f.current = transfer{}
 		return fmt.Errorf("part at %d of %d bytes does not continue the transfer", reply.Offset, reply.Total)
 	}
-	f.now.data = append(f.now.data, reply.Part...)
+	f.current.data = append(f.current.data, reply.Part...)
 	return nil
 }
 
 // pace waits after a part of size bytes that took a time to arrive, so that the transfer
 // leaves callers their share of the link.
 func (f *documentFetcher) pace(ctx context.Context, size int, took time.Duration) error {
-	rate := f.rate(f.now.head.Total)
+	rate := f.rate(f.current.head.Total)
 	if rate <= 0 {
 		return nil
 	}
@@ -153,8 +153,8 @@
 // finish decodes the document and puts its policy in force. If that fails, the whole
 // document is fetched.
 func (f *documentFetcher) finish(source string) error {
-	w, done := f.watch, f.now
-	f.now = transfer{}
+	w, done := f.watch, f.current
+	f.current = transfer{}
 	var held []byte
 	if done.head.Base != 0 {
 		held = f.body
