List control hosts in exchanges only to hosts that know others

Cause: the reply to each exchange, three a second to every other control host, repeated the list of all control hosts; with six of them that is most of the bytes of an exchange, and most exchanges cross regions.

Change: an exchange carries the digest of the list, as pulls do; the reply has the list only if its own differs. TestControlHostsAreToldOnlyOnceKnown failed before.

--- a/internal/core/exchange.go
+++ b/internal/core/exchange.go
@@ -60,7 +60,7 @@
 // exchangeSince returns the message with what targets and entry hosts reported to
 // this host directly later than after.
 func (n *Node) exchangeSince(after, now time.Duration) fleet.Exchange {
-	message := fleet.Exchange{From: n.self}
+	message := fleet.Exchange{From: n.self, Controls: controlsDigest(n.otherControls.known(now))}
 	message.Entries, message.Alive = n.entries.since(after, now)
 	updated, heartbeats := n.direct.since(after, now)
 	for _, name := range updated {
@@ -77,7 +77,8 @@
 }
 
 // handleExchange applies an exchange of another control host. The reply lists the
-// known control hosts and the names that the sender has to send in full.
+// known control hosts, unless the sender knows the same, and the names that the sender
+// has to send in full.
 func (n *Node) handleExchange(_ context.Context, _ string, m fleet.Exchange) (fleet.ExchangeReply, error) {
 	now := n.now()
 	n.otherControls.heard(now, m.From)
@@ -104,6 +105,8 @@
 	if changed {
 		n.changed.notify()
 	}
-	reply.Controls = n.otherControls.known(now)
+	if known := n.otherControls.known(now); controlsDigest(known) != m.Controls {
+		reply.Controls = known
+	}
 	return reply, nil
 }
--- a/internal/core/exchange_test.go
+++ b/internal/core/exchange_test.go
@@ -115,3 +115,31 @@
 		t.Errorf("the receiver holds %+v, want the sent entry host alone", live)
 	}
 }
+
+// Guards against exchanges whose replies repeat the list of control hosts several times a
+// second over the links between regions, and against control hosts that never learn of
+// each other.
+func TestControlHostsAreToldOnlyOnceKnown(t *testing.T) {
+	control := func(peer string) fleet.Control { return fleet.Control{Peer: peer, Zone: "z" + peer, Region: "r"} }
+	sender, receiver := newBareNode(), newBareNode()
+	for peer, n := range map[string]*Node{"a": sender, "b": receiver} {
+		n.self = control(peer)
+		n.otherControls = newControlTable(n.self, nil)
+	}
+	receiver.otherControls.heard(0, control("c"))
+	for i, want := range []int{3, 0, 0} { // the first reply lists a, b and c
+		now := time.Duration(i) * time.Second
+		reply, err := receiver.handleExchange(t.Context(), "", sender.exchangeSince(0, now))
+		if err != nil || len(reply.Controls) != want {
+			t.Fatalf("reply %d lists %v, error %v, want %d control hosts", i, reply.Controls, err, want)
+		}
+		for _, c := range reply.Controls {
+			sender.otherControls.learn(now, c)
+		}
+	}
+	earlier := sender.exchangeSince(0, 3*time.Second)
+	earlier.Controls = 0 // as a sender of an earlier version
+	if reply, err := receiver.handleExchange(t.Context(), "", earlier); err != nil || len(reply.Controls) != 3 {
+		t.Errorf("a sender without a digest is told %v, error %v, want all three", reply.Controls, err)
+	}
+}
--- a/internal/fleet/exchange.go
+++ b/internal/fleet/exchange.go
@@ -18,10 +18,12 @@
 	Beats []roster.Heartbeat `cbor:"4,keyasint,omitempty"`
 	// Alive are the entry hosts that called again with an unchanged description.
 	Alive []Alive `cbor:"5,keyasint,omitempty"`
+	// Controls is the digest of the control hosts that the sender knows.
+	Controls uint64 `cbor:"6,keyasint,omitempty"`
 }
 
-// ExchangeReply lists the control hosts that the receiver knows, and the names that
-// the sender has to send in full.
+// ExchangeReply lists the control hosts that the receiver knows if the sender knows
+// others, and the names that the sender has to send in full.
 type ExchangeReply struct {
 	Controls []Control `cbor:"1,keyasint,omitempty"`
 	// Unknown are the targets of Beats that the receiver does not know;
