--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -20,6 +20,13 @@
 	"github.com/hornbeamstack/hornbeamstack/pkg/roster"
 )
 
+// hostIP returns the loopback address of host i of a group of hosts. It depends on the
+// process, so that runs of the tests at the same time do not share addresses.
+func hostIP(group, i int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 64+(pid>>8)&63, pid&255, 16*group+i)
+}
+
 // host is a control host of the test with its own loopback address.
 type host struct {
 	ip     string
@@ -69,7 +76,7 @@
 func newCluster(t *testing.T, n int) *cluster {
 	c := &cluster{t: t}
 	for i := range n {
-		h := &host{ip: fmt.Sprintf("127.77.3.%d", i+1), folder: t.TempDir()}
+		h := &host{ip: hostIP(1, i), folder: t.TempDir()}
 		c.hosts = append(c.hosts, h)
 		if i < 3 {
 			c.seeds = append(c.seeds, h.ip+":19461")
@@ -261,8 +268,8 @@
 func TestStoppedHostWritesNothing(t *testing.T) {
 	folder := t.TempDir()
 	for round := range 20 {
-		h := &host{ip: "127.77.4.1", folder: filepath.Join(folder, fmt.Sprint(round))}
-		h.start(t, []string{"127.77.4.1:19461", "127.77.4.2:19461", "127.77.4.3:19461"}, true)
+		h := &host{ip: hostIP(2, 0), folder: filepath.Join(folder, fmt.Sprint(round))}
+		h.start(t, []string{hostIP(2, 0) + ":19461", hostIP(2, 1) + ":19461", hostIP(2, 2) + ":19461"}, true)
 		time.Sleep(time.Duration(round) * time.Millisecond) // interrupts the start at different points
 		h.stop()
 		if err := os.RemoveAll(h.folder); err != nil {
