--- a/internal/core/documents.go
+++ b/internal/core/documents.go
@@ -40,7 +40,7 @@
 // documents encodes the newest policy document as the difference to earlier ones. It is
 // safe for concurrent use.
 type documents struct {
-	encoding sync.Mutex // held while a difference is computed, so that one is at a time
+	encodeMu sync.Mutex // held while a difference is computed, so that one is at a time
 
 	mu        sync.Mutex // of the lists; never held while a difference is computed
 	bases     []base     // newest last
@@ -114,8 +114,8 @@
 // encode returns the encoding of a document for a host that holds the document with the
 // digest held.
 func (s *documents) encode(d *desired.Document, held uint64) (*encoding, error) {
-	s.encoding.Lock()
-	defer s.encoding.Unlock()
+	s.encodeMu.Lock()
+	defer s.encodeMu.Unlock()
 	s.add(d.Body)
 	digest, from := delta.Digest(d.Body), s.findBase(held)
 	if e := s.find(func(e *encoding) bool { return e.reply.Digest == digest && e.reply.Base == from.digest }); e != nil {
