--- a/internal/core/documents.go
+++ b/internal/core/documents.go
@@ -14,7 +14,7 @@
 
 const (
 	// documentPart is the largest part of an encoded document in one reply, in bytes.
-	// It delays other messages on the connection for a tenth of a second at 1.4 Mbit/s.
+	// Other messages on the connection wait for it, also on a thin link.
 	documentPart = 16 << 10
 	// maxBases and maxBaseBytes limit the earlier documents that are kept as bases.
 	maxBases     = 32
