--- a/review/1/main.go
+++ b/review/1/main.go
@@ -27,7 +27,7 @@
 }
 
 func main() {
-	r := rig.Start()
+	r := rig.Start(1)
 	var servers []*rig.Server
 	for i, zone := range []string{"colombo-a", "kandy-a", "galle-a"} {
 		for j, service := range []string{oldService, newService} {
--- a/review/2/main.go
+++ b/review/2/main.go
@@ -21,7 +21,7 @@
 )
 
 func main() {
-	r := rig.Start()
+	r := rig.Start(1)
 	var servers []*rig.Server
 	for i, zone := range []string{"colombo-a", "kandy-a", "galle-a", "colombo-a", "kandy-a", "galle-a", "colombo-a"} {
 		servers = append(servers, r.NewServer(fmt.Sprintf("i-%08x", 0x7f3a91c0+i), service, zone, 20+i, 30*time.Millisecond))
@@ -53,7 +53,7 @@
 	time.Sleep(300 * time.Millisecond)
 	victim.Crash()
 	time.Sleep(700 * time.Millisecond)
-	again := victim.Restart(0) // its heartbeats go to another control host
+	again := victim.Restart(victim.ID, 0) // its heartbeats go to another control host
 	r.Await("the new incarnation runs requests", 15*time.Second, func() bool { return len(again.Runs()) > 0 })
 	time.Sleep(time.Until(thawed.Add(-500 * time.Millisecond)))
 
--- a/review/4/main.go
+++ b/review/4/main.go
@@ -1,104 +1,109 @@
-// Command 4 shows that requests sent behind one whose answer breaks off are run by sound
-// servers and never answered.
+// Command 4 shows that a delayed end of an evacuation undoes a later evacuation that was
+// acknowledged.
 package main
 
 import (
-	"bufio"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"strings"
+	"syscall"
 	"time"
 
 	"github.com/hornbeamstack/hornbeamstack/review/internal/rig"
 )
 
 const (
-	longService, shortService = "dele69a", "xano55b"
-	longPath, shortPath       = "/bopu901/2f", "/lohu930/2f"
-	// answerBytes is the length of the long answers, and brokenAt where a faulty server
-	// truncates one.
-	answerBytes, brokenAt = 30000, 20000
-	rounds                = 10
-	// allowed is the number of requests that the rule lets a machine leave unanswered.
-	allowed = 3
+	service = "dele69a"
+	path    = "/bopu901/2f"
+	zone    = "galle-a"
+	orders  = "/v1/evacuations/" + zone
+	// frozenFor is the length of the freeze, the largest dose of node_freeze on a machine of
+	// the core among the troubles of kll-limits.
+	frozenFor = 4 * time.Second
+	// evacuatedFor is how long the second evacuation lasts.
+	evacuatedFor = 20 * time.Second
+	// callTimeout is the time without a response after which the operator moves on.
+	callTimeout = time.Second
 )
 
-// request returns the bytes of a safe request.
-func request(path, id string) string {
-	return fmt.Sprintf("GET %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nCookie: Affinity-Key=17\r\nDeadline-Ms: 1200\r\n\r\n", path, rig.HostName, id)
-}
-
-// answer reads one answer and returns its status, 0 if it isn't complete.
-func answer(br *bufio.Reader) int {
-	a, err := http.ReadResponse(br, nil)
+// call sends an order on the operator's kept connection and returns the status, 0 if there
+// is no response in time. The connection is closed then.
+func call(client *http.Client, method, address, path string) int {
+	request, err := http.NewRequest(method, "http://"+address+path, nil)
 	if err != nil {
 		return 0
 	}
-	if _, err := io.Copy(io.Discard, a.Body); err != nil {
+	answer, err := client.Do(request)
+	if err != nil {
 		return 0
 	}
-	return a.StatusCode
+	_, _ = io.Copy(io.Discard, answer.Body)
+	_ = answer.Body.Close()
+	return answer.StatusCode
 }
 
 func main() {
-	r := rig.Start()
-	faulty := make(chan bool, rounds) // whether the next long answer is truncated
-	long := r.NewServer("i-00000001", longService, "colombo-a", 20, 30*time.Millisecond)
-	long.Answer = func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Length", fmt.Sprint(answerBytes))
-		n := answerBytes
-		select {
-		case truncate := <-faulty:
-			if truncate {
-				n = brokenAt
-			}
-		default:
+	r := rig.Start(1)
+	var evacuated []*rig.Server
+	for i, z := range []string{"colombo-a", "kandy-a", zone, "colombo-a", "kandy-a", zone} {
+		s := r.NewServer(fmt.Sprintf("i-%08x", 0x7f3a91c0+i), service, z, 20+i, 20*time.Millisecond)
+		if z == zone {
+			evacuated = append(evacuated, s)
 		}
-		_, _ = io.WriteString(w, strings.Repeat("x", n)) // net/http closes the connection if the answer is short
 	}
-	short := r.NewServer("i-00000002", shortService, "colombo-a", 21, 200*time.Millisecond)
-	r.Order("version 1", "PUT", "/v1/config", rig.Config(1, []string{longService, shortService}, []rig.Route{
-		{Name: "r-h2b9wu3", Kind: "safe", Prefix: "/bopu901/", Service: longService, TimeoutS: 1},
-		{Name: "r-ji9n73h", Kind: "safe", Prefix: "/lohu930/", Service: shortService, TimeoutS: 1}}), 0)
+	r.Order("version 1", "PUT", "/v1/config", rig.Config(1, []string{service}, []rig.Route{{Name: "r-h2b9wu3", Kind: "unsafe", Prefix: "/bopu901/", Service: service, TimeoutS: 1}}), 0)
 	r.Founded()
 	r.AwaitReady()
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		for i := 0; ; i++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(20 * time.Millisecond):
+			}
+			go r.Request(r.Edges[i%len(r.Edges)], "POST", path, i%60)
+		}
+	}()
 	time.Sleep(rig.ContactS + 4*time.Second) // a calm time, in which servers are no longer cold
 
-	edge := r.Edges[0]
-	unanswered := map[string]bool{}
-	for range rounds {
-		conn, err := net.DialTimeout("tcp", edge.Front, time.Second)
-		if err != nil {
-			r.Cannot("connect: %v", err)
-		}
-		_ = conn.SetDeadline(time.Now().Add(3 * time.Second))
-		br := bufio.NewReader(conn)
-		// The connection is kept after a first request.
-		id := rig.NextID()
-		_, _ = io.WriteString(conn, request(shortPath, id))
-		r.Record.Line("client sends %s, gets %d", id, answer(br))
-		first, second := rig.NextID(), rig.NextID()
-		faulty <- r.Trouble
-		_, _ = io.WriteString(conn, request(longPath, first)+request(shortPath, second))
-		firstStatus := answer(br)
-		secondStatus := 0
-		if firstStatus != 0 {
-			secondStatus = answer(br)
-		}
-		r.Record.Line("client sends %s and, behind it, %s on one connection, gets %d and %d", first, second, firstStatus, secondStatus)
-		if secondStatus == 0 {
-			unanswered[second] = true
-		}
-		_ = conn.Close()
-		time.Sleep(300 * time.Millisecond)
+	frozen := r.Cores[2]
+	link := r.NewLink(frozen.Control)
+	operator := &http.Client{Timeout: callTimeout}
+	status := call(operator, "POST", link.Address(), orders)
+	r.Record.Line("operator sends the evacuation to %s, gets %d", frozen.Name, status)
+	if status != http.StatusOK {
+		r.Cannot("the first evacuation was not acknowledged")
+	}
+	time.Sleep(2 * time.Second)
+	thawed := time.Now()
+	if r.Trouble {
+		frozen.Signal(syscall.SIGSTOP)
+		link.Hold()
+		time.AfterFunc(frozenFor, func() { frozen.Signal(syscall.SIGCONT); link.Release() })
+		thawed = thawed.Add(frozenFor)
 	}
-	ran := 0
-	for _, run := range short.Runs() {
-		if unanswered[run.ID] {
-			ran++
+	status = call(operator, "DELETE", link.Address(), orders)
+	r.Record.Line("operator sends the end of the evacuation to %s, gets %d", frozen.Name, status)
+	if status != http.StatusOK {
+		r.Order("the end of the evacuation", "DELETE", orders, nil, 0)
+	}
+	acked := r.Order("the second evacuation", "POST", orders, nil, 0)
+	time.Sleep(evacuatedFor)
+	from := acked.Add(rig.EvacuationS + rig.MaxStretchS)
+	if inTouch := thawed.Add(rig.ContactS); inTouch.After(from) {
+		from = inTouch
+	}
+	late := 0
+	for _, s := range evacuated {
+		for _, run := range s.Runs() {
+			if run.At.After(from) {
+				late++
+			}
 		}
 	}
-	r.Verdict(ran > allowed, "%s passed %d requests from kept connections on to a sound server and closed the connection without an answer", edge.Name, ran)
+	close(stop)
+	<-stopped
+	r.Verdict(late > 0, "%d requests reached servers of the evacuated zone later than EvacuationS + MaxStretchS after the ack", late)
 }
--- a/review/internal/rig/rig.go
+++ b/review/internal/rig/rig.go
@@ -37,8 +37,7 @@
 	exitCannot = 2
 )
 
-// zones of the deployment; each is a region of its own and has a control host and an
-// entry host.
+// zones of the deployment; each is a region of its own and has a control host.
 var zones = []string{"colombo-a", "kandy-a", "galle-a"}
 
 // regionOf returns the region of a zone.
@@ -74,9 +73,10 @@
 	ending  bool
 }
 
-// Start starts the deployment and waits until it has settled. Its working folder is a
-// temporary one; the record stands beside the script. It ends the program if that fails.
-func Start() *Rig {
+// Start starts the deployment, with a number of entry hosts in each zone. Its working
+// folder is a temporary one; the record stands beside the script. It ends the program if
+// that fails.
+func Start(edgesPerZone int) *Rig {
 	caseFolder, root := os.Getenv("CASE_FOLDER"), os.Getenv("REPO_ROOT")
 	if caseFolder == "" || root == "" {
 		fmt.Fprintln(os.Stderr, "run this through run.sh")
@@ -95,7 +95,7 @@
 		r.Cannot("temporary folder: %v", err)
 	}
 	r.subnet = r.freeSubnet()
-	r.startHosts()
+	r.startHosts(edgesPerZone)
 	return r
 }
 
@@ -133,7 +133,7 @@
 	r.Record.Line("%s", text)
 	fmt.Println(text)
 	for _, s := range servers {
-		s.exit()
+		s.Exit()
 	}
 	for _, h := range append(r.Cores, r.Edges...) {
 		h.Kill()
@@ -179,17 +179,16 @@
 	return ""
 }
 
-// startHosts writes the settings, starts all processes and waits until the entry hosts
-// are ready to hear of a desired state.
-func (r *Rig) startHosts() {
+// startHosts writes the settings and starts all processes.
+func (r *Rig) startHosts(edgesPerZone int) {
 	for i, zone := range zones {
 		ip := fmt.Sprintf("%s.%d", r.subnet, i+1)
 		r.Cores = append(r.Cores, &Host{rig: r, Name: "core-" + zone + "-1", IP: ip, Zone: zone, program: "target/hornbeam-core",
 			Control: fmt.Sprintf("%s:%d", ip, controlPort), Directory: fmt.Sprintf("%s:%d", ip, directoryPort)})
 	}
-	for i, zone := range zones {
-		ip := fmt.Sprintf("%s.%d", r.subnet, i+11)
-		r.Edges = append(r.Edges, &Host{rig: r, Name: "edge-" + zone + "-1", IP: ip, Zone: zone, program: "target/hornbeam-gateway",
+	for i := range edgesPerZone * len(zones) {
+		ip, zone := fmt.Sprintf("%s.%d", r.subnet, i+11), zones[i%len(zones)]
+		r.Edges = append(r.Edges, &Host{rig: r, Name: fmt.Sprintf("edge-%s-%d", zone, i/len(zones)+1), IP: ip, Zone: zone, program: "target/hornbeam-gateway",
 			Front: fmt.Sprintf("%s:%d", ip, frontPort)})
 	}
 	for _, h := range append(append([]*Host{}, r.Cores...), r.Edges...) {
--- a/review/internal/rig/server.go
+++ b/review/internal/rig/server.go
@@ -66,10 +66,10 @@
 	return s
 }
 
-// Restart starts a new incarnation of a server that has ended, under its id and at its
-// address, whose first announcement goes to a control host of the caller's choice.
-func (s *Server) Restart(node int) *Server {
-	return s.rig.startServer(&Server{ID: s.ID, Service: s.Service, Zone: s.Zone, Address: s.Address, Work: s.Work, node: node})
+// Restart starts a new incarnation of a server that has ended, at its address and under
+// the id, whose first announcement goes to a control host of the caller's choice.
+func (s *Server) Restart(id string, node int) *Server {
+	return s.rig.startServer(&Server{ID: id, Service: s.Service, Zone: s.Zone, Address: s.Address, Work: s.Work, node: node})
 }
 
 // serve answers health probes and runs requests.
@@ -130,11 +130,19 @@
 	}
 }
 
+// coldStart is how long a server is cold after its start.
+const coldStart = 3 * time.Second
+
+// coldRemaining returns how much longer the server is cold, in seconds.
+func (s *Server) coldRemaining() float64 {
+	return max(0, (coldStart - time.Since(time.UnixMilli(s.Born))).Seconds())
+}
+
 // beat sends one announcement, to the next control host after each failure.
 func (s *Server) beat() {
 	s.mu.Lock()
 	body, err := json.Marshal(map[string]any{"Service": s.Service, "Address": s.Address, "Zone": s.Zone, "Version": "v1", "Slots": slots,
-		"State": s.state, "ColdRemainingS": 0, "Sequence": s.sequence.Add(1), "born": s.Born})
+		"State": s.state, "ColdRemainingS": s.coldRemaining(), "Sequence": s.sequence.Add(1), "born": s.Born})
 	node := s.node
 	s.mu.Unlock()
 	if err != nil {
@@ -158,7 +166,7 @@
 }
 
 // Leave sends the departure of the server to a control host and returns the status, 0 if
-// there was none in time. The server goes on serving, and ends with exit.
+// there was none in time. The server goes on serving, and ends with Exit.
 func (s *Server) Leave(to *Host) int {
 	s.rig.Record.Line("server %s (born %d) tells %s that it leaves", s.ID, s.Born, to.Name)
 	status := s.rig.Call(to, "DELETE", "/v1/instances/"+s.ID, nil)
@@ -176,8 +184,8 @@
 	}
 }
 
-// exit ends the server at once.
-func (s *Server) exit() {
+// Exit ends the server at once.
+func (s *Server) Exit() {
 	s.Silence()
 	_ = s.server.Close()
 }
@@ -185,7 +193,7 @@
 // Crash ends the server at once, without a word.
 func (s *Server) Crash() {
 	s.rig.Record.Line("server %s (born %d) crashes", s.ID, s.Born)
-	s.exit()
+	s.Exit()
 }
 
 // Call sends a call to a control host on a new connection and returns the status, 0 if
