--- a/review/build.sh
+++ b/review/build.sh
@@ -5,6 +5,6 @@
 mkdir -p target/review
 for folder in review/[1-9]; do
 	if [ -f "$folder/main.go" ]; then
-		go build -o "target/review/$(basename "$folder")" "./$folder"
+		go build -buildvcs=false -o "target/review/$(basename "$folder")" "./$folder"
 	fi
 done
