--- a/review/1/main.go
+++ b/review/1/main.go
@@ -26,6 +26,17 @@
 	return body
 }
 
+// beatOdd sends the other writer's announcements until the program ends.
+func beatOdd(r *rig.Rig) {
+	born := time.Now().UnixMilli()
+	for i := 0; ; i++ {
+		to := r.Cores[i%len(r.Cores)]
+		status := r.Call(to, "PUT", "/v1/instances/"+oddName, oddAnnouncement(i+1, born))
+		r.Record.Line("another writer announces %s at %s and gets %d", oddName, to.Name, status)
+		time.Sleep(rig.HeartbeatInterval)
+	}
+}
+
 func main() {
 	r := rig.Start(1)
 	var servers []*rig.Server
@@ -51,14 +62,32 @@
 	time.Sleep(rig.ContactS + 3*time.Second) // a calm time, in which servers are no longer cold
 
 	// The other writer's entry beats like a server, at one control host after the other.
-	born := time.Now().UnixMilli()
-	for i := range r.Cores {
-		if r.Trouble {
-			status := r.Call(r.Cores[i], "PUT", "/v1/instances/"+oddName, oddAnnouncement(i+1, born))
-			r.Record.Line("another writer announces %s at %s and gets %d", oddName, r.Cores[i].Name, status)
+	if r.Trouble {
+		go beatOdd(r)
+	}
+	time.Sleep(time.Duration(len(r.Cores)) * rig.HeartbeatInterval)
+
+	// A server leaves; this is not what the verdict rests on.
+	leaver := servers[0]
+	leaver.Silence()
+	for node := 0; leaver.Leave(r.Cores[node%len(r.Cores)])/100 != 2; {
+		node++
+	}
+	left := time.Now()
+	for time.Since(left) < rig.DrainS+3*time.Second {
+		for i, e := range r.Edges {
+			r.Request(e, "GET", path, i)
 		}
-		time.Sleep(rig.HeartbeatInterval)
+		time.Sleep(50 * time.Millisecond)
 	}
+	drained := 0
+	for _, run := range leaver.Runs() {
+		if run.At.Sub(left) > rig.DrainS {
+			drained++
+		}
+	}
+	leaver.Exit()
+
 	acked := r.Order("version 2, which moves the route to the other service", "PUT", "/v1/config", config(2, newService), 1)
 
 	var sent []rig.Sent
@@ -83,5 +112,5 @@
 			}
 		}
 	}
-	r.Verdict(old > 0, "of %d requests sent later than ConfigApplyS after the ack of version 2, %d were run by the service of version 1", late, old)
+	r.Verdict(old > 0, "of %d requests sent later than ConfigApplyS after the ack of version 2, %d were run by the service of version 1; %d requests reached a server later than DrainS after the ack of its departure", late, old, drained)
 }
