Decode messages whose names are not UTF-8, and refuse such names

Cause: the CBOR encoder takes any Go string as text, the decoder refuses the whole message for one that is not UTF-8. Evidence: the entry hosts log "decode fleet.pull reply: cbor: invalid UTF-8 string" for each control host. The decoder of messages now takes text as it is, which holds for every field of every message; names from paths are checked where they come in.

JSON and TOML inputs cannot carry such bytes.

--- a/internal/desired/command.go
+++ b/internal/desired/command.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"unicode/utf8"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -32,8 +33,24 @@
 	Departure *Departure `cbor:"4,keyasint,omitempty"`
 }
 
-// Encode returns the command in CBOR, as an entry of the replication log.
+// names returns the names in the command.
+func (c *Command) names() []string {
+	names := []string{c.Evacuate, c.Readmit}
+	if c.Departure != nil {
+		names = append(names, c.Departure.Name)
+	}
+	return names
+}
+
+// Encode returns the command in CBOR, as an entry of the replication log. It returns an
+// error if a name is not UTF-8: hosts skip entries that they cannot decode, so that the
+// command would be acknowledged without effect.
 func (c *Command) Encode() ([]byte, error) {
+	for _, name := range c.names() {
+		if !utf8.ValidString(name) {
+			return nil, fmt.Errorf("encode command: name %q is not valid UTF-8", name)
+		}
+	}
 	data, err := cbor.Marshal(c)
 	if err != nil {
 		return nil, fmt.Errorf("encode command: %w", err)
--- a/internal/desired/machine_test.go
+++ b/internal/desired/machine_test.go
@@ -115,3 +115,14 @@
 	default:
 	}
 }
+
+// Guards against a command that is acknowledged although no host can decode it
+// (review case 1).
+func TestCommandsThatCannotBeDecodedAreRefused(t *testing.T) {
+	const odd = "\xff\xfe"
+	for _, c := range []Command{{Evacuate: odd}, {Readmit: odd}, {Departure: &Departure{Name: odd, Life: 1}}} {
+		if data, err := c.Encode(); err == nil {
+			t.Errorf("command %+v was encoded as %x", c, data)
+		}
+	}
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -74,7 +74,7 @@
 	if reply.Err != "" {
 		return resp, &RemoteError{Method: method, Code: reply.Code, Text: reply.Err}
 	}
-	if err := cbor.Unmarshal(reply.Body, &resp); err != nil {
+	if err := decoding.Unmarshal(reply.Body, &resp); err != nil {
 		return resp, fmt.Errorf("decode %s reply: %w", method, err)
 	}
 	return resp, nil
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -142,3 +142,18 @@
 		})
 	})
 }
+
+// TestTextThatIsNotUTF8 guards against one string of an odd writer that keeps the
+// receiver from the whole message (review case 1).
+func TestTextThatIsNotUTF8(t *testing.T) {
+	c := NewClient("client \xfe")
+	t.Cleanup(c.Close)
+	addr := startEcho(t, nil)
+	reply, err := Call[echoRequest, echoReply](context.Background(), c, addr, "echo", echoRequest{Text: "a\xff\xfe"})
+	if err != nil || reply.Text != "a\xff\xfe" || reply.From != "client \xfe" {
+		t.Errorf("reply %+q, error %v, want the text and the name unchanged", reply, err)
+	}
+	if _, err := Call[echoRequest, echoReply](context.Background(), c, addr, "none\xff", echoRequest{}); err == nil || errors.Is(err, ErrConnectionLost) {
+		t.Errorf("call of an unknown method: error %v, want that of the server", err)
+	}
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -41,7 +41,7 @@
 	defer s.mu.Unlock()
 	s.handlers[method] = func(ctx context.Context, from string, body []byte) (any, error) {
 		var req Req
-		if err := cbor.Unmarshal(body, &req); err != nil {
+		if err := decoding.Unmarshal(body, &req); err != nil {
 			return nil, fmt.Errorf("decode %s request: %w", method, err)
 		}
 		return h(ctx, from, req)
