Record departures for the newest incarnation that any control host knows

The control host that gets a DELETE now asks the others for the target and needs answers of a majority. Evidence: "target leaves" names an earlier life than the last "target announced".

--- a/internal/core/announce.go
+++ b/internal/core/announce.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"time"
 
 	"github.com/hornbeamstack/hornbeamstack/internal/desired"
 	"github.com/hornbeamstack/hornbeamstack/pkg/roster"
@@ -39,11 +38,12 @@
 }
 
 // Leave records that a target is about to exit and returns once its departure is
-// committed to the desired state.
+// committed to the desired state. The target does not say which incarnation it is: it is
+// the newest one that a control host knows.
 func (n *Node) Leave(ctx context.Context, name string) error {
-	life := roster.Life(time.Now().UnixMilli())
-	if t, ok := n.targets.Find(name); ok {
-		life = t.Life
+	life, err := n.newestLife(ctx, name)
+	if err != nil {
+		return err
 	}
 	return n.submitDeparture(ctx, desired.Departure{Name: name, Life: life})
 }
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -69,6 +69,7 @@
 	peer.Register(c.Server, fleet.MethodDocument, n.handleDocument)
 	peer.Register(c.Server, fleet.MethodExchange, n.handleExchange)
 	peer.Register(c.Server, fleet.MethodSubmit, n.handleSubmit)
+	peer.Register(c.Server, fleet.MethodTarget, n.handleTarget)
 	n.tasks.Go(func() { n.runGroup(ctx) })
 	n.tasks.Go(func() { n.exchangeLoop(ctx) })
 	n.tasks.Go(func() { n.sweepLoop(ctx) })
--- a/internal/fleet/exchange.go
+++ b/internal/fleet/exchange.go
@@ -6,6 +6,7 @@
 const (
 	MethodExchange = "fleet.exchange"
 	MethodSubmit   = "fleet.submit"
+	MethodTarget   = "fleet.target"
 )
 
 // Exchange carries what targets and entry hosts reported to the sender directly since
@@ -39,3 +40,13 @@
 
 // SubmitReply confirms that a command is committed to the replication log.
 type SubmitReply struct{}
+
+// TargetRequest asks a control host what it knows of a target.
+type TargetRequest struct {
+	Name string `cbor:"1,keyasint"`
+}
+
+// TargetReply is the newest report of a target, without Target if the host knows none.
+type TargetReply struct {
+	Target *roster.Report `cbor:"1,keyasint,omitempty"`
+}
