Name the incarnation in requests to relays and in their outcomes

Cause: a relay that had not heard of a new incarnation answered "leaving" for the earlier one; the entry host took it for the new one and reported its departure, which is final. Evidence: "target leaves, as its answers say" with via=relay 270 ms after "target announced" of the same life, which never said so. Requests and outcomes now name the incarnation, and a relay that is behind answers "busy".

--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -54,15 +54,15 @@
 	}
 }
 
-// targetLeaves records that a target said that it is about to exit. This host sends it
-// nothing more until its next incarnation, and tells the control hosts.
-func (g *Gateway) targetLeaves(t *roster.Target, source way) {
-	if held, ok := g.view.targets.Find(t.Name); !ok || held.Life > t.Life || held.Leaving {
+// targetLeaves records that an incarnation of a target said that it is about to exit. This
+// host sends it nothing more until its next incarnation, and tells the control hosts.
+func (g *Gateway) targetLeaves(name string, life roster.Life, source way) {
+	if held, ok := g.view.targets.Find(name); !ok || held.Life > life || held.Leaving {
 		return
 	}
-	g.view.targets.Leave(t.Name, t.Life)
-	if g.departures.add(t.Name, t.Life) {
+	g.view.targets.Leave(name, life)
+	if g.departures.add(name, life) {
 		g.meters.count("targets.leaving_by_answer")
-		g.log.Info("target leaves, as its answers say", "target", t.Name, "life", t.Life, "via", source)
+		g.log.Info("target leaves, as its answers say", "target", name, "life", life, "via", source)
 	}
 }
--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -10,6 +10,8 @@
 	"github.com/hornbeamstack/hornbeamstack/internal/desired"
 	"github.com/hornbeamstack/hornbeamstack/internal/fleet"
 	"github.com/hornbeamstack/hornbeamstack/internal/nettest"
+	"github.com/hornbeamstack/hornbeamstack/internal/relay"
+	"github.com/hornbeamstack/hornbeamstack/pkg/evidence"
 	"github.com/hornbeamstack/hornbeamstack/pkg/policy"
 	"github.com/hornbeamstack/hornbeamstack/pkg/roster"
 )
@@ -102,7 +104,7 @@
 	g := newWatchingGateway(t, control.address)
 	go g.watch.run(t.Context())
 	g.view.targets.Apply(g.now(), roster.Report{Announcement: roster.Announcement{Name: "t", Life: 3, Sequence: 1, Address: "127.0.0.1:1"}})
-	g.targetLeaves(&roster.Target{Announcement: roster.Announcement{Name: "t", Life: 3}}, viaDirect)
+	g.targetLeaves("t", 3, viaDirect)
 	if d := <-reported; d.Name != "t" || d.Life != 3 {
 		t.Errorf("reported departure %+v", d)
 	}
@@ -112,3 +114,32 @@
 		}
 	}
 }
+
+// A relay that answers for an earlier incarnation of a target must not end the use of the
+// one that is in use (review case 3).
+func TestRelayAnswersForAnEarlierIncarnation(t *testing.T) {
+	for _, outcome := range []relay.Outcome{relay.Leaving, relay.Paused} {
+		t.Run(string(outcome), func(t *testing.T) {
+			f := newFixture(t, ok, ok)
+			for _, target := range f.targets {
+				f.gateway.view.targets.Apply(f.gateway.now(), roster.Report{Announcement: roster.Announcement{
+					Name: target.Name, Life: 2, Sequence: 1, Service: "s", Address: target.Address(), Zone: "z1", Slots: 4}})
+			}
+			f.relayAt(brokenRelay(t, func(c net.Conn) {
+				answer(c, 502, "1", "", relay.HeaderOutcome+": "+string(outcome), relay.HeaderPause+": 60000", relay.HeaderLife+": 1")
+			}))
+			f.do("GET", "/safe/x", "1", "")
+			if n := len(f.order(policy.Safe)); n != 2 {
+				t.Errorf("%d targets are in use, want 2", n)
+			}
+			if list := f.gateway.departures.list(); len(list) > 0 {
+				t.Errorf("the departures %+v are reported, want none", list)
+			}
+			for _, target := range f.targets {
+				if left := f.gateway.pauses.Left(f.gateway.now(), evidence.Key{Name: target.Name, Life: 2}); left > 0 {
+					t.Errorf("%s gets no requests for %s, want no pause", target.Name, left)
+				}
+			}
+		})
+	}
+}
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -148,6 +148,7 @@
 func (r *relays) setHeaders(h http.Header, t *roster.Target, kind policy.Kind) {
 	h.Set(relay.HeaderTarget, t.Name)
 	h.Set(relay.HeaderAddress, t.Address)
+	relay.SetTargetLife(h, t.Life)
 	if kind.Idempotent() {
 		h.Set(relay.HeaderRepeatable, "1")
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -125,7 +125,7 @@
 		g.pauses.Add(g.now(), evidence.Key{Name: t.Name, Life: int64(t.Life)}, a.RetryAfter)
 	}
 	if a.Leaving {
-		g.targetLeaves(t, d.via)
+		g.targetLeaves(t.Name, t.Life, d.via)
 	}
 }
 
@@ -161,11 +161,12 @@
 		e.RecordUnreachable(now)
 		return attempt{outcome: unreached, err: errRelay}, true
 	case relay.Leaving:
-		g.targetLeaves(t, viaRelay)
+		g.targetLeaves(t.Name, relay.TargetLife(r.Response.Header), viaRelay)
 		return attempt{outcome: unreached, err: errLeaving}, true
 	case relay.Paused:
 		left := relay.PauseLeft(r.Response.Header)
-		g.pauses.Add(now, evidence.Key{Name: t.Name, Life: int64(t.Life)}, left)
+		life := relay.TargetLife(r.Response.Header)
+		g.pauses.Add(now, evidence.Key{Name: t.Name, Life: int64(life)}, left)
 		return attempt{outcome: unreached, err: errPaused}, true
 	case relay.TimedOut:
 		return attempt{outcome: timedOut, err: errRelay}, true
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -62,7 +62,7 @@
 	}
 	defer s.release()
 	t, known := s.config.Find(x.target, x.to.Address)
-	if !known || x.timeLeft() <= 0 {
+	if !known || t.Life < TargetLife(x.request.Header) || x.timeLeft() <= 0 {
 		return x.reportFailure(Busy, nil)
 	}
 	x.to.Start = int64(t.Life)
@@ -207,6 +207,9 @@
 	}
 	header := http.Header{}
 	header.Set(HeaderOutcome, string(outcome))
+	if outcome == Leaving || outcome == Paused {
+		SetTargetLife(header, roster.Life(x.to.Start))
+	}
 	if outcome == Paused {
 		left := s.server.pauses.Left(s.server.now(), x.key())
 		header.Set(HeaderPause, strconv.FormatInt(left.Milliseconds(), 10))
--- a/internal/relay/headers.go
+++ b/internal/relay/headers.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/pkg/roster"
 )
 
 // Headers of a request to a relay.
@@ -11,6 +13,9 @@
 	// HeaderTarget and HeaderAddress carry the name and the address of the target.
 	HeaderTarget  = "Hornbeam-Target"
 	HeaderAddress = "Hornbeam-Address"
+	// HeaderLife carries the roster.Life of the target: the one that the entry host means
+	// or, with the outcomes Leaving and Paused, the one that the relay means.
+	HeaderLife = "Hornbeam-Life"
 	// HeaderRepeatable is set if the request may be executed more than once.
 	HeaderRepeatable = "Hornbeam-Repeatable"
 	// HeaderRate carries the total rate of all responses to an entry host, in bytes
@@ -37,9 +42,24 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
+// TargetLife returns the life in HeaderLife, 0 if there is none. Hosts of earlier versions
+// send none.
+func TargetLife(h http.Header) roster.Life {
+	life, err := strconv.ParseInt(h.Get(HeaderLife), 10, 64)
+	if err != nil || life < 0 {
+		return 0
+	}
+	return roster.Life(life)
+}
+
+// SetTargetLife sets HeaderLife.
+func SetTargetLife(h http.Header, life roster.Life) {
+	h.Set(HeaderLife, strconv.FormatInt(int64(life), 10))
+}
+
 // Strip removes the headers that are used only between entry hosts and relays.
 func Strip(h http.Header) {
-	for _, name := range []string{HeaderTarget, HeaderAddress, HeaderRepeatable, HeaderRate, HeaderBulk, HeaderOutcome, HeaderPause} {
+	for _, name := range []string{HeaderTarget, HeaderAddress, HeaderLife, HeaderRepeatable, HeaderRate, HeaderBulk, HeaderOutcome, HeaderPause} {
 		h.Del(name)
 	}
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -124,7 +124,7 @@
 		t.Errorf("%d connections to the target, want 1 shared by all entry hosts", n)
 	}
 	for _, r := range s.Requests() {
-		for _, name := range []string{HeaderTarget, HeaderAddress, HeaderRepeatable, HeaderRate, HeaderBulk} {
+		for _, name := range []string{HeaderTarget, HeaderAddress, HeaderLife, HeaderRepeatable, HeaderRate, HeaderBulk} {
 			if r.Header.Get(name) != "" {
 				t.Errorf("the target received the relay header %s, want it removed", name)
 			}
@@ -466,3 +466,38 @@
 		})
 	}
 }
+
+// Guards against a relay that has not heard of a target's new incarnation yet and answers
+// for the earlier one, which has left or wants no requests: the entry host took that for
+// the new one, and nobody used it any more (review case 3).
+func TestOutcomesNameTheirIncarnation(t *testing.T) {
+	for _, test := range []struct {
+		name, header string
+		outcome      Outcome
+	}{
+		{"leaving", "Leaving: 1", Leaving},
+		{"pause", "Pause: 60000", Paused},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			_, address := startRelay(t) // knows life 1
+			target := nettest.StartTarget(t, func(_ *nettest.Target, conn net.Conn, r *http.Request) {
+				fmt.Fprintf(conn, "HTTP/1.1 503 Unavailable\r\nId: %s\r\nNot-Run: 1\r\n%s\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Id"), test.header)
+			})
+			e := dialRelay(t, address)
+			ask := func(id, life string) (Outcome, string) {
+				e.send(id, "t", target.Address(), "", time.Second, HeaderLife+": "+life+"\r\n")
+				r, _ := e.read()
+				return Outcome(r.Header.Get(HeaderOutcome)), r.Header.Get(HeaderLife)
+			}
+			if outcome, _ := ask("1", "1"); outcome != "" {
+				t.Fatalf("the first request has the outcome %q", outcome)
+			}
+			if outcome, life := ask("2", "1"); outcome != test.outcome || life != "1" {
+				t.Errorf("a request for life 1 has the outcome %q of life %q, want %q of life 1", outcome, life, test.outcome)
+			}
+			if outcome, _ := ask("3", "2"); outcome != Busy {
+				t.Errorf("a request for life 2 has the outcome %q, want %q", outcome, Busy)
+			}
+		})
+	}
+}
