Drop late copies of orders about zones and departures

Cause: orders about a zone carry nothing that tells a late copy from a new order. Other paths: DELETE of a target that started again (fixed), orders forwarded between hosts (bound by the index); policies and announcements carry versions, incarnations and sequence numbers.

--- a/internal/core/announce.go
+++ b/internal/core/announce.go
@@ -39,12 +39,16 @@
 
 // Leave records that a target is about to exit and returns once its departure is
 // committed to the desired state. The target does not say which incarnation it is: it is
-// the newest one that a control host knows.
+// the newest one that a control host knows. ctx has to end once the caller closes its
+// connection: a departure that waited for this host may be of an earlier incarnation.
 func (n *Node) Leave(ctx context.Context, name string) error {
 	life, err := n.newestLife(ctx, name)
 	if err != nil {
 		return err
 	}
+	if err := checkCaller(ctx); err != nil {
+		return err
+	}
 	return n.submitDeparture(ctx, desired.Departure{Name: name, Life: life})
 }
 
--- a/internal/core/submit.go
+++ b/internal/core/submit.go
@@ -19,10 +19,29 @@
 	foundingDelay = 1500 * time.Millisecond
 )
 
+// refusedError reports that a command was committed without effect. It is not submitted
+// again.
+type refusedError struct{ reason string }
+
+func (e *refusedError) Error() string { return "the order has no effect: " + e.reason }
+
+// refusedCode identifies a refusedError of another control host.
+const refusedCode = "refused"
+
+// Code identifies the error to other control hosts.
+func (e *refusedError) Code() string { return refusedCode }
+
+// isRefused reports whether the command was committed without effect.
+func isRefused(err error) bool {
+	var refused *refusedError
+	var remote *peer.RemoteError
+	return errors.As(err, &refused) || errors.As(err, &remote) && remote.Code == refusedCode
+}
+
 var errNoGroup = errors.New("the agreement group is not running on this host")
 
-// Submit commits a command to the replication log and retries until ctx ends. After
-// an error the command may still be committed.
+// Submit commits a command to the replication log and retries until ctx ends or the
+// command turns out to have no effect. After another error it may still be committed.
 func (n *Node) Submit(ctx context.Context, c desired.Command) error {
 	n.count("orders.received")
 	begun := n.now()
@@ -37,6 +56,10 @@
 			telemetry.ObserveDuration(n.registry, "orders.acknowledged_ms", n.now()-begun)
 			return nil
 		}
+		if isRefused(err) {
+			n.count("orders.refused")
+			return err
+		}
 		select {
 		case <-ctx.Done():
 			n.count("orders.unacknowledged")
@@ -73,7 +96,10 @@
 	if n.config.Founding && n.now() < foundingDelay {
 		return fleet.SubmitReply{}, errors.New("the group has just been founded and waits for members")
 	}
-	_, err := g.Propose(ctx, data)
+	refusal, err := g.Propose(ctx, data)
+	if err == nil && refusal != nil {
+		err = &refusedError{reason: string(refusal)}
+	}
 	return fleet.SubmitReply{}, err
 }
 
--- a/internal/desired/command.go
+++ b/internal/desired/command.go
@@ -24,13 +24,16 @@
 	Index uint64 `cbor:"3,keyasint,omitempty"`
 }
 
-// Command changes the desired state. Exactly one field is set. Commands are
-// idempotent, so one whose outcome is unknown may be submitted again.
+// Command changes the desired state. Exactly one field besides Basis is set. Commands
+// are idempotent, so one whose outcome is unknown may be submitted again.
 type Command struct {
 	Document  *Document  `cbor:"1,keyasint,omitempty"`
 	Evacuate  string     `cbor:"2,keyasint,omitempty"` // availability zone
 	Readmit   string     `cbor:"3,keyasint,omitempty"` // availability zone
 	Departure *Departure `cbor:"4,keyasint,omitempty"`
+	// Basis is the log index of the state at which an order about a zone was accepted, 0
+	// if it is unknown. Orders about the zone that were committed later overtake it.
+	Basis uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // names returns the names in the command.
--- a/internal/desired/machine.go
+++ b/internal/desired/machine.go
@@ -24,6 +24,8 @@
 	Document    Document `cbor:"2,keyasint"` // version 0 if there is none
 	Orders      Orders   `cbor:"3,keyasint"`
 	OrdersIndex uint64   `cbor:"4,keyasint"` // of the last command that changed the orders
+	// ZoneOrders tells late copies of orders about a zone from new ones; sorted by zone.
+	ZoneOrders []zoneOrder `cbor:"5,keyasint,omitempty"`
 }
 
 // OrdersSince returns the update for a host that holds the orders as of an index:
@@ -55,7 +57,8 @@
 }
 
 // Apply applies a committed entry of the replication log and skips entries that were
-// applied before. It returns nil, or a message if the entry cannot be decoded.
+// applied before. It returns nil, or the reason why the entry has no effect: it cannot be
+// decoded, or a later order has overtaken it.
 func (m *Machine) Apply(index uint64, data []byte) []byte {
 	var c Command
 	if err := cbor.Unmarshal(data, &c); err != nil {
@@ -68,7 +71,7 @@
 		return nil
 	}
 	m.applied = index
-	changed := m.state.apply(index, &c)
+	changed, refusal := m.state.apply(index, &c)
 	if changed {
 		m.state.Index = index
 		if c.Document == nil {
@@ -80,7 +83,7 @@
 	if changed && m.notify != nil {
 		m.notify(c)
 	}
-	return nil
+	return refusal
 }
 
 // signalChange closes the channel that State returned. The caller holds mu.
@@ -89,34 +92,47 @@
 	m.changed = make(chan struct{})
 }
 
-// apply executes a command and reports whether it changed the state.
-func (s *State) apply(index uint64, c *Command) bool {
+// apply executes a command. It reports whether the command changed the state, or why it
+// has no effect although the state is not the wanted one.
+func (s *State) apply(index uint64, c *Command) (changed bool, refusal []byte) {
 	switch {
 	case c.Document != nil:
 		if c.Document.Version <= s.Document.Version {
-			return false
+			return false, nil
 		}
 		s.Document = *c.Document
+		return true, nil
 	case c.Evacuate != "":
-		at, found := slices.BinarySearch(s.Orders.Evacuated, c.Evacuate)
-		if found {
-			return false
-		}
-		s.Orders.Evacuated = slices.Insert(slices.Clone(s.Orders.Evacuated), at, c.Evacuate)
+		return s.setEvacuated(index, c.Evacuate, c.Basis, true)
 	case c.Readmit != "":
-		at, found := slices.BinarySearch(s.Orders.Evacuated, c.Readmit)
-		if !found {
-			return false
-		}
-		s.Orders.Evacuated = slices.Delete(slices.Clone(s.Orders.Evacuated), at, at+1)
+		return s.setEvacuated(index, c.Readmit, c.Basis, false)
 	case c.Departure != nil:
 		d := *c.Departure
 		d.Index = index
-		return s.addDeparture(d)
+		return s.addDeparture(d), nil
 	default:
-		return false
+		return false, nil
 	}
-	return true
+}
+
+// setEvacuated evacuates or readmits a zone, unless it is in that state or a later order
+// has overtaken this one.
+func (s *State) setEvacuated(index uint64, zone string, basis uint64, evacuated bool) (changed bool, refusal []byte) {
+	at, found := slices.BinarySearch(s.Orders.Evacuated, zone)
+	if found == evacuated {
+		return false, nil
+	}
+	if s.overtaken(zone, basis) {
+		return false, []byte(fmt.Sprintf("order about zone %q as of index %d was overtaken by a later one", zone, basis))
+	}
+	list := slices.Clone(s.Orders.Evacuated)
+	if evacuated {
+		s.Orders.Evacuated = slices.Insert(list, at, zone)
+	} else {
+		s.Orders.Evacuated = slices.Delete(list, at, at+1)
+	}
+	s.recordZoneOrder(zone, index)
+	return true, nil
 }
 
 // addDeparture replaces an earlier departure of the same target. It reports whether
--- a/internal/desired/machine_test.go
+++ b/internal/desired/machine_test.go
@@ -126,3 +126,42 @@
 		}
 	}
 }
+
+// Guards against a late copy of an order about a zone that undoes a later order: it was
+// accepted before that one and is committed after it, as when a host or a link stood still
+// in between (review case 4).
+func TestLateOrdersAreOvertaken(t *testing.T) {
+	steps := []struct {
+		name      string
+		command   Command
+		evacuated []string
+		overtaken bool
+	}{
+		{"evacuation", Command{Evacuate: "z", Basis: 0}, []string{"z"}, false},
+		{"its end", Command{Readmit: "z", Basis: 1}, nil, false},
+		{"a late copy of the evacuation", Command{Evacuate: "z", Basis: 1}, nil, true},
+		{"the second evacuation", Command{Evacuate: "z", Basis: 2}, []string{"z"}, false},
+		{"an order about another zone", Command{Evacuate: "y", Basis: 4}, []string{"y", "z"}, false},
+		{"a late copy of the first end", Command{Readmit: "z", Basis: 1}, []string{"y", "z"}, true},
+		{"a copy of the second evacuation", Command{Evacuate: "z", Basis: 2}, []string{"y", "z"}, false},
+		{"the second end", Command{Readmit: "z", Basis: 5}, []string{"y"}, false},
+		{"an end from a host of an earlier version", Command{Readmit: "y"}, nil, false},
+	}
+	m := New(nil)
+	for i, step := range steps {
+		data, err := step.command.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		refusal := m.Apply(uint64(i+1), data)
+		state, _ := m.State()
+		if !slices.Equal(state.Orders.Evacuated, step.evacuated) || (refusal != nil) != step.overtaken {
+			t.Errorf("%s: evacuated %v, refusal %q; want %v, overtaken %v", step.name, state.Orders.Evacuated, refusal, step.evacuated, step.overtaken)
+		}
+		restored := New(nil)
+		if err := restored.Restore(m.Snapshot()); err != nil {
+			t.Fatal(err)
+		}
+		m = restored // a snapshot keeps what tells late orders
+	}
+}
