Refuse requests that may outlast a planned stop

It could happen here: acceptance was bounded, the end of what was accepted was not. A request with a timeout of 5 s was passed on 2.8 s into a stop of 5.7 s; one that must not be repeated and waits behind others on its connection was passed on at any time; a grace time below 3 s accepted requests to its end. Such requests are now refused before they are sent, with Retry-After 0, and acceptance takes half of the stop at most.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,8 +18,8 @@
 
 const (
 	// stopAcceptDelay is how long after the start of a shutdown requests are still
-	// accepted. By then callers no longer use the host, and the requests accepted
-	// last still have time to finish.
+	// accepted, but for half of the shutdown at most. By then callers no longer use the
+	// host, and the requests accepted last still have time to finish.
 	stopAcceptDelay = 2800 * time.Millisecond
 	// stopCheck is the interval at which a shutdown checks for requests in flight.
 	stopCheck   = 50 * time.Millisecond
@@ -54,6 +54,7 @@
 	answerGrace   time.Duration // how long answers are awaited after a route's timeout
 
 	stopCalled atomic.Bool
+	stopEnd    atomic.Int64 // end of the shutdown in nanoseconds since start, set before stopCalled
 	mu         sync.Mutex
 	callers    map[*callerConn]bool
 	listener   net.Listener
@@ -92,6 +93,12 @@
 // stopping reports whether Stop was called.
 func (g *Gateway) stopping() bool { return g.stopCalled.Load() }
 
+// endsBefore reports whether a shutdown is in progress and ends before a time, so that a
+// request that lasts until then would be cut off.
+func (g *Gateway) endsBefore(at time.Duration) bool {
+	return g.stopping() && at > time.Duration(g.stopEnd.Load())
+}
+
 // SetSeeds adds control hosts to try.
 func (g *Gateway) SetSeeds(seeds []string) { g.watch.setSeeds(seeds) }
 
@@ -166,14 +173,16 @@
 }
 
 // Stop shuts the host down within limit: it reports the host as not ready, still
-// accepts requests for stopAcceptDelay, then closes the listener and idle
-// connections and waits for the requests in flight.
+// accepts requests for stopAcceptDelay unless they may outlast the shutdown, then closes
+// the listener and idle connections and waits for the requests in flight.
 func (g *Gateway) Stop(limit time.Duration) {
 	begin := time.Now()
+	g.stopEnd.Store(int64(g.now() + limit))
 	g.stopCalled.Store(true)
+	acceptDelay := min(stopAcceptDelay, limit/2)
 	g.log.Info("stopping", "limit", limit)
 	for time.Since(begin) < limit {
-		if time.Since(begin) > stopAcceptDelay && g.closeIdle() == 0 {
+		if time.Since(begin) > acceptDelay && g.closeIdle() == 0 {
 			break
 		}
 		time.Sleep(stopCheck)
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -66,6 +66,9 @@
 		}
 	}
 	d := g.newDelivery(x)
+	if g.endsBefore(d.answerLimit) {
+		return g.refuseFor(x, reasonStopping, 0, "left", d.deadline-g.now()) // other hosts take it at once
+	}
 	if x.route.Kind == policy.Download {
 		return g.download(d)
 	}
--- a/internal/gateway/own_answers.go
+++ b/internal/gateway/own_answers.go
@@ -17,6 +17,7 @@
 	reasonLinkBusy   reason = "link_busy"
 	reasonBusy       reason = "target_busy"
 	reasonCallerLeft reason = "caller_left"
+	reasonStopping   reason = "stopping"
 )
 
 // refusalText holds the body of the answer for each reason.
@@ -27,6 +28,7 @@
 	reasonLinkBusy:   "the link is busy with other downloads",
 	reasonBusy:       "the target has too much work",
 	reasonCallerLeft: "the caller has left",
+	reasonStopping:   "this host stops before the request may end",
 }
 
 // statusCallerLeft appears only in logs and metrics, since its caller has left.
