--- /dev/null
+++ b/internal/entry/broken_answer_test.go
@@ -0,0 +1,49 @@
+package entry
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/nettest"
+)
+
+// Guards against an answer whose target stops in the middle of its head and closes, and that
+// reaches the caller as a whole one (issue 28, third report).
+func TestAnswerCutAnywhereInItsHeadIsNeverWhole(t *testing.T) {
+	Convey("no start of a head is passed on as an answer", t, func() {
+		const whole = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\nX-Kind: diary\r\n\r\n"
+		for end := range whole {
+			address := rawTarget(t, func(_ int, conn net.Conn, _ *http.Request) bool {
+				_, _ = io.WriteString(conn, whole[:end])
+				return false
+			})
+			So(startHost(t, []string{address}).do("POST", "/s/bookings/x", "", "").status, ShouldNotEqual, http.StatusOK)
+		}
+	})
+}
+
+// Guards against a faulty target whose bytes without end fill the memory of the entry host
+// (issue 28, first report).
+func TestAnswersWithoutEnd(t *testing.T) {
+	const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, c := range map[string]struct{ start, part string }{
+		"no answer":       {"", "\x00\xffgarbage"},
+		"one header":      {"HTTP/1.1 200 OK\r\nX: ", "x"},
+		"many headers":    {"HTTP/1.1 200 OK\r\n", "X: x\r\n"},
+		"early hints":     {"", "HTTP/1.1 103 Early Hints\r\nX: " + strings.Repeat("x", 1<<10) + "\r\n\r\n"},
+		"chunk extension": {chunked + "1;", "x"},
+		"trailer":         {chunked + "0\r\n", "X: x\r\n"},
+	} {
+		Convey("bytes without end are not taken: "+name, t, func() {
+			target, taken := nettest.StartEndless(t, c.start, c.part)
+			h := startHost(t, []string{target.Address()})
+			_ = h.do("POST", "/s/bookings/x", "", "")
+			So(<-taken, ShouldBeLessThan, nettest.EndlessBytes)
+		})
+	}
+}
--- a/internal/hop/endless_test.go
+++ b/internal/hop/endless_test.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -12,31 +11,6 @@
 	"github.com/hornbeamstack/hornbeamstack/internal/nettest"
 )
 
-// endlessBytes is the number of bytes, far beyond any head limit, after which the
-// test target stops sending.
-const endlessBytes = 64 << 20
-
-// listenEndless starts a target that answers with start and then repeats part until
-// the connection is closed or endlessBytes were sent. The channel receives the number
-// of bytes that could be written after start.
-func listenEndless(t *testing.T, start, part string) (address string, taken <-chan int) {
-	t.Helper()
-	result := make(chan int, 1)
-	target := nettest.StartTarget(t, func(_ *nettest.Target, conn net.Conn, _ *http.Request) {
-		defer conn.Close()
-		_, err := io.WriteString(conn, start)
-		many := strings.Repeat(part, 1+(32<<10)/len(part))
-		sent := 0
-		for err == nil && sent < endlessBytes {
-			var n int
-			n, err = io.WriteString(conn, many)
-			sent += n
-		}
-		result <- sent
-	})
-	return target.Address(), result
-}
-
 // A faulty target may send a response head that never ends. Without a limit, the host
 // that reads it runs out of memory.
 func TestHeadWithoutEnd(t *testing.T) {
@@ -49,9 +23,9 @@
 		"head of a stray one": {"HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n", "X: x\r\n"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			address, taken := listenEndless(t, c.start, c.part)
+			target, taken := nettest.StartEndless(t, c.start, c.part)
 			p := NewPool(plainCodec{}, func() time.Duration { return 0 }, 1)
-			u, err := p.Dial(Endpoint{Address: address}, time.Second)
+			u, err := p.Dial(Endpoint{Address: target.Address()}, time.Second)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -67,7 +41,7 @@
 			if strings.HasPrefix(name, "informational") != errors.Is(r.Err, ErrWrongAnswer) {
 				t.Errorf("error %v, want ErrWrongAnswer only for informational heads", r.Err)
 			}
-			if n := <-taken; n >= endlessBytes {
+			if n := <-taken; n >= nettest.EndlessBytes {
 				t.Errorf("%d bytes were read, want fewer: the connection must be closed at the limit", n)
 			}
 		})
