Do not stream an answer while requests behind it are at targets

Cause: an answer is streamed after its first 16 KB, and one that breaks off then ends the connection with the requests behind it. A request now waits while an answer before it is streamed; an answer with requests behind it is held up to 64 KB, so that another target or a 502 can replace it. Other paths: requests that must not be repeated waited already; malformed and unread requests have none behind them.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -19,6 +19,9 @@
 	// bufferedDownload replaces bufferedAnswer for downloads. It is smaller since
 	// a download that is buffered to its end takes twice as long on a slow link.
 	bufferedDownload = 2 << 10
+	// heldAnswer replaces both if a request behind the answer was passed on: the answer
+	// is not streamed up to this size, since the request would be lost if it broke off.
+	heldAnswer = 64 << 10
 )
 
 var errBodyTooLarge = errors.New("the request body is over the limit")
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -42,10 +42,12 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	queue   chan *exchange
+	order   *pipeline
 
 	mu       sync.Mutex
-	pending  int  // requests accepted and not yet answered
-	closing  bool // no further request is accepted
+	accepted uint64 // number of requests accepted so far
+	pending  int    // of these, the ones not yet answered
+	closing  bool   // no further request is accepted
 	lastDone chan struct{}
 }
 
@@ -57,7 +59,7 @@
 	return &callerConn{
 		gateway: g, conn: conn, limiter: limiter, reader: bufio.NewReaderSize(limiter, callerBuffer),
 		writer: bufio.NewWriterSize(conn, callerBuffer), ctx: ctx, cancel: cancel,
-		queue: make(chan *exchange, readAhead), lastDone: first,
+		queue: make(chan *exchange, readAhead), order: newPipeline(), lastDone: first,
 	}
 }
 
@@ -252,6 +254,8 @@
 		return false
 	}
 	c.pending++
+	c.accepted++
+	x.pipeline, x.number = c.order, c.accepted
 	x.previousDone = c.lastDone
 	x.done = make(chan struct{})
 	c.lastDone = x.done
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -21,6 +21,8 @@
 
 	ctx          context.Context // ends when the caller leaves
 	cancel       context.CancelFunc
+	pipeline     *pipeline     // of the connection
+	number       uint64        // in pipeline
 	previousDone chan struct{} // closed once all earlier answers on the connection were sent
 	done         chan struct{} // closed once the answer was sent
 	answer       chan *reply   // receives the answer once
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -55,15 +55,8 @@
 		g.config.Codec.Echo(r.header, x.call.ID)
 		return r
 	}
-	if !x.route.Kind.Idempotent() {
-		// After an answer that closes the connection, the caller sends its later
-		// pipelined requests again. One that is not idempotent must therefore not
-		// have started before all earlier answers were sent.
-		select {
-		case <-x.previousDone:
-		case <-x.ctx.Done():
-			return g.refuse(x, reasonCallerLeft)
-		}
+	if !x.awaitTurn() {
+		return g.refuse(x, reasonCallerLeft)
 	}
 	d := g.newDelivery(x)
 	if g.endsBefore(d.answerLimit) {
@@ -75,6 +68,23 @@
 	return d.run()
 }
 
+// awaitTurn waits until the request may be passed on to a target. It returns false if the
+// caller leaves before. After an answer that closes the connection, the caller sends its
+// later pipelined requests again. One that is not idempotent must therefore not have
+// started before all earlier answers were sent; an idempotent one waits only while one of
+// them is streamed, so that it does not run in vain if that answer breaks off.
+func (x *exchange) awaitTurn() bool {
+	if x.route.Kind.Idempotent() && x.pipeline.tryPassOn(x.number) {
+		return true
+	}
+	select {
+	case <-x.previousDone:
+		return x.pipeline.tryPassOn(x.number)
+	case <-x.ctx.Done():
+		return false
+	}
+}
+
 // newDelivery chooses the service and sets the deadline of a request: the route's
 // timeout or the caller's, whichever ends first.
 func (g *Gateway) newDelivery(x *exchange) *delivery {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -186,14 +186,11 @@
 		limit = bufferedDownload
 	}
 	head := make([]byte, 0, min(int(max(response.ContentLength, 512)), limit))
-	var err error
-	for len(head) < limit && err == nil {
-		if len(head) == cap(head) {
-			head = append(head, 0)[:len(head)]
+	head, err := readUpTo(response.Body, head, limit)
+	if x := d.exchange; err == nil && !x.pipeline.tryStream(x.number) {
+		if head, err = readUpTo(response.Body, head, heldAnswer); err == nil {
+			x.pipeline.stream(x.number)
 		}
-		var n int
-		n, err = response.Body.Read(head[len(head):min(cap(head), limit)])
-		head = head[:len(head)+n]
 	}
 	if err != nil && err != io.EOF {
 		stop()
@@ -223,6 +220,21 @@
 	return attempt{outcome: answered, reply: reply, released: true}
 }
 
+// readUpTo appends bytes of body to buffer until that holds limit bytes or the body ends,
+// which is io.EOF, or fails.
+func readUpTo(body io.Reader, buffer []byte, limit int) ([]byte, error) {
+	var err error
+	for len(buffer) < limit && err == nil {
+		if len(buffer) == cap(buffer) {
+			buffer = append(buffer, 0)[:len(buffer)]
+		}
+		var n int
+		n, err = body.Read(buffer[len(buffer):min(cap(buffer), limit)])
+		buffer = buffer[:len(buffer)+n]
+	}
+	return buffer, err
+}
+
 // watchCaller closes the connection when the caller leaves or the answer comes too late.
 // If stop returns true, the connection was not closed and may be reused.
 func (d *delivery) watchCaller(u *hop.Conn) (stop func() bool) {
