--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -32,7 +32,7 @@
 		c.mu.Lock()
 		c.pending--
 		c.mu.Unlock()
-		c.order.finish(x.number)
+		c.pipeline.finish(x.number)
 		close(x.done)
 		x.cancel()
 	}
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -34,15 +34,15 @@
 // callerConn is one connection of a caller. One goroutine reads the requests and
 // another writes the answers in order; each request has its own handler.
 type callerConn struct {
-	gateway *Gateway
-	conn    net.Conn
-	limiter *hop.HeadLimiter
-	reader  *bufio.Reader
-	writer  *bufio.Writer
-	ctx     context.Context
-	cancel  context.CancelFunc
-	queue   chan *exchange
-	order   *pipeline
+	gateway  *Gateway
+	conn     net.Conn
+	limiter  *hop.HeadLimiter
+	reader   *bufio.Reader
+	writer   *bufio.Writer
+	ctx      context.Context
+	cancel   context.CancelFunc
+	queue    chan *exchange
+	pipeline *pipeline
 
 	mu       sync.Mutex
 	accepted uint64 // number of requests accepted so far
@@ -59,7 +59,7 @@
 	return &callerConn{
 		gateway: g, conn: conn, limiter: limiter, reader: bufio.NewReaderSize(limiter, callerBuffer),
 		writer: bufio.NewWriterSize(conn, callerBuffer), ctx: ctx, cancel: cancel,
-		queue: make(chan *exchange, readAhead), order: newPipeline(), lastDone: first,
+		queue: make(chan *exchange, readAhead), pipeline: newPipeline(), lastDone: first,
 	}
 }
 
@@ -255,7 +255,7 @@
 	}
 	c.pending++
 	c.accepted++
-	x.pipeline, x.number = c.order, c.accepted
+	x.pipeline, x.number = c.pipeline, c.accepted
 	x.previousDone = c.lastDone
 	x.done = make(chan struct{})
 	c.lastDone = x.done
