Make two tests independent of how late their requests arrive

TestAnswerCutAnywhereIsNeverWhole: two of its requests were refused before they were sent, as a connection that opens too late makes the entry host do; the test took that for its own failure. It now sends such a request again until its cut has been tried, so that every cut is still tried.

TestTargetContract: its download had a deadline of 20 ms from before the request. The download now takes 1.5 s at a deadline of 1 s; it still outlasts its deadline.

--- a/internal/gateway/cut_head_test.go
+++ b/internal/gateway/cut_head_test.go
@@ -62,11 +62,10 @@
 				}
 				for i, c := range cuts {
 					cut <- c
-					if status, body, whole := f.tryRequest(kind, fmt.Sprint(i)); whole && status == 200 {
-						t.Errorf("answer cut to %q reached the caller as a whole 200 with body %q", c, body)
-					}
-					if len(cut) > 0 {
-						t.Fatalf("answer cut to %q was not sent: the request did not reach the target", c)
+					for try := 0; len(cut) > 0; try++ { // a request that is refused before it is sent proves nothing
+						if status, body, whole := f.tryRequest(kind, fmt.Sprint(i, ".", try)); whole && status == 200 {
+							t.Errorf("answer cut to %q reached the caller as a whole 200 with body %q", c, body)
+						}
 					}
 				}
 			})
--- a/internal/standin/target_test.go
+++ b/internal/standin/target_test.go
@@ -109,8 +109,8 @@
 		So(target.Stats().Cancelled, ShouldEqual, 1)
 	})
 	Convey("a download is complete and has no deadline", t, func() {
-		target := start(t, Config{Rate: 1 << 20})
-		deadline := strconv.FormatInt(time.Now().Add(20*time.Millisecond).UnixMilli(), 10)
+		target := start(t, Config{Rate: 1 << 16})
+		deadline := strconv.FormatInt(time.Now().Add(time.Second).UnixMilli(), 10) // the download takes 1.5 s
 		_, body, err := get(context.Background(), target, "/?bytes=100000", headerDeadline, deadline)
 		So(err, ShouldBeNil)
 		want := make([]byte, 100000)
