--- a/internal/core/zone_orders.go
+++ b/internal/core/zone_orders.go
@@ -2,22 +2,10 @@
 
 import (
 	"context"
-	"errors"
-	"time"
 
 	"github.com/hornbeamstack/hornbeamstack/internal/desired"
-	"github.com/hornbeamstack/hornbeamstack/internal/wait"
 )
 
-// callerCheck is how long an order is held back to see whether its caller has given up.
-// Bytes that waited for this host, while it or the link stood still, arrive a round trip
-// before the close of their connection; the longest round trip is about 50 ms.
-const callerCheck = 150 * time.Millisecond
-
-// ErrCallerLeft is returned for an order whose caller has closed its connection. The order
-// may be an old one, so it is not submitted.
-var ErrCallerLeft = errors.New("the caller has given up, the order may be an old one")
-
 // Evacuate commits that targets of an availability zone get nothing more. ctx has to end
 // once the caller closes its connection.
 func (n *Node) Evacuate(ctx context.Context, zone string) error {
@@ -44,13 +32,3 @@
 	c.Basis = max(state.Index, 1)
 	return n.Submit(ctx, c)
 }
-
-// checkCaller waits for callerCheck and returns ErrCallerLeft if the caller has given up
-// by then.
-func checkCaller(ctx context.Context) error {
-	err := wait.For(ctx, callerCheck)
-	if errors.Is(err, context.Canceled) {
-		return ErrCallerLeft
-	}
-	return err
-}
--- /dev/null
+++ b/internal/gateway/read_answer.go
@@ -0,0 +1,95 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/hop"
+	"github.com/hornbeamstack/hornbeamstack/pkg/evidence"
+	"github.com/hornbeamstack/hornbeamstack/pkg/policy"
+	"github.com/hornbeamstack/hornbeamstack/pkg/roster"
+)
+
+// readAnswer buffers the start of the response body. If that is the whole body, it
+// releases the connection; otherwise the reply's finish does.
+func (d *delivery) readAnswer(u *hop.Conn, t *roster.Target, e *evidence.Target, r hop.Result, complete bool) attempt {
+	response := r.Response
+	reply := &reply{status: response.StatusCode, header: hop.EndToEndHeaders(response.Header), length: response.ContentLength}
+	stop := d.watchCaller(u)
+	limit := bufferedAnswer
+	if d.exchange.route.Kind == policy.Download {
+		limit = bufferedDownload
+	}
+	head := make([]byte, 0, min(int(max(response.ContentLength, 512)), limit))
+	head, err := readUpTo(response.Body, head, limit)
+	if x := d.exchange; err == nil && !x.pipeline.tryStream(x.number) {
+		if head, err = readUpTo(response.Body, head, heldAnswer); err == nil {
+			x.pipeline.stream(x.number)
+		}
+	}
+	if err != nil && err != io.EOF {
+		stop()
+		u.Abort()
+		if d.exchange.ctx.Err() != nil {
+			return attempt{outcome: callerLeft}
+		}
+		if d.gateway.now() >= d.answerLimit {
+			return attempt{outcome: timedOut}
+		}
+		return attempt{outcome: broken, err: err}
+	}
+	reply.body = head
+	reusable := complete && !response.Close
+	if err == io.EOF {
+		reusable = stop() && reusable
+		if response.ContentLength < 0 || d.exchange.request.Method != http.MethodHead {
+			reply.length = int64(len(head))
+		}
+		d.release(u, e, reusable)
+		return attempt{outcome: answered, reply: reply, released: true}
+	}
+	reply.rest = response.Body
+	reply.finish = func(sent bool) {
+		d.release(u, e, stop() && sent && reusable)
+	}
+	return attempt{outcome: answered, reply: reply, released: true}
+}
+
+// readUpTo appends bytes of body to buffer until that holds limit bytes or the body ends,
+// which is io.EOF, or fails.
+func readUpTo(body io.Reader, buffer []byte, limit int) ([]byte, error) {
+	var err error
+	for len(buffer) < limit && err == nil {
+		if len(buffer) == cap(buffer) {
+			buffer = append(buffer, 0)[:len(buffer)]
+		}
+		var n int
+		n, err = body.Read(buffer[len(buffer):min(cap(buffer), limit)])
+		buffer = buffer[:len(buffer)+n]
+	}
+	return buffer, err
+}
+
+// watchCaller closes the connection when the caller leaves or the answer comes too late.
+// If stop returns true, the connection was not closed and may be reused.
+func (d *delivery) watchCaller(u *hop.Conn) (stop func() bool) {
+	forget := context.AfterFunc(d.exchange.ctx, u.Close)
+	timer := time.AfterFunc(d.answerLimit-d.gateway.now(), u.Close)
+	return func() bool {
+		inTime := timer.Stop()
+		return forget() && inTime
+	}
+}
+
+// release ends the request in the target's count and returns the connection to the
+// pool, or aborts it if it is not reusable.
+func (d *delivery) release(u *hop.Conn, e *evidence.Target, reusable bool) {
+	e.Release()
+	if reusable {
+		d.gateway.pool.Put(u)
+		return
+	}
+	u.Abort()
+}
