Read what an order depends on while its caller is checked

The check holds: an order given elsewhere after the caller has moved on is later than the basis, or the close has arrived by the time the basis was read. Departures read the newest incarnation meanwhile, too.

--- a/internal/core/announce.go
+++ b/internal/core/announce.go
@@ -42,14 +42,15 @@
 // the newest one that a control host knows. ctx has to end once the caller closes its
 // connection: a departure that waited for this host may be of an earlier incarnation.
 func (n *Node) Leave(ctx context.Context, name string) error {
-	life, err := n.newestLife(ctx, name)
-	if err != nil {
+	d := desired.Departure{Name: name}
+	err := checkCaller(ctx, func() (err error) {
+		d.Life, err = n.newestLife(ctx, name)
 		return err
-	}
-	if err := checkCaller(ctx); err != nil {
+	})
+	if err != nil {
 		return err
 	}
-	return n.submitDeparture(ctx, desired.Departure{Name: name, Life: life})
+	return n.submitDeparture(ctx, d)
 }
 
 // TargetAt returns a target and whether its newest announcement gave this address.
--- a/internal/core/caller_check.go
+++ b/internal/core/caller_check.go
@@ -17,11 +17,17 @@
 // may be an old one, so it is not submitted.
 var ErrCallerLeft = errors.New("the caller has given up, the order may be an old one")
 
-// checkCaller waits for callerCheck and returns ErrCallerLeft if the caller has given up
-// by then.
-func checkCaller(ctx context.Context) error {
-	err := wait.For(ctx, callerCheck)
-	if errors.Is(err, context.Canceled) {
+// checkCaller runs read, which reads what the order depends on, while the order is held
+// back for callerCheck. It returns the error of read, or ErrCallerLeft if the caller has
+// given up before both have ended.
+func checkCaller(ctx context.Context, read func() error) error {
+	held := make(chan error, 1)
+	go func() { held <- wait.For(ctx, callerCheck) }()
+	err := read()
+	if holdErr := <-held; err == nil {
+		err = holdErr
+	}
+	if errors.Is(ctx.Err(), context.Canceled) {
 		return ErrCallerLeft
 	}
 	return err
--- a/internal/core/zone_orders.go
+++ b/internal/core/zone_orders.go
@@ -19,16 +19,16 @@
 }
 
 // submitZoneOrder submits an order that must not undo a later one. Its basis is read
-// before the check of the caller: orders that the caller gave elsewhere after it had moved
-// on are later than the basis, and earlier ones show in its close.
+// while the caller is checked: orders that the caller gave elsewhere after it had moved on
+// are later than the basis, or its close has arrived by the time the basis was read.
 func (n *Node) submitZoneOrder(ctx context.Context, c desired.Command) error {
-	state, err := n.Current(ctx)
-	if err != nil {
+	err := checkCaller(ctx, func() error {
+		state, err := n.Current(ctx)
+		c.Basis = max(state.Index, 1)
 		return err
-	}
-	if err := checkCaller(ctx); err != nil {
+	})
+	if err != nil {
 		return err
 	}
-	c.Basis = max(state.Index, 1)
 	return n.Submit(ctx, c)
 }
