--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -16,6 +16,7 @@
 var cases = map[string]func(r *rig) (broken bool, err error){
 	"shrink":   runShrink,
 	"pipeline": runPipeline,
+	"memory":   runMemory,
 }
 
 func main() { os.Exit(run()) }
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -36,6 +36,9 @@
 	name, ip, zone, region string
 	core                   bool
 	process                *proc.Process
+
+	settingsFile string
+	cachedPID    int // of process, 0 if it was not looked up yet
 }
 
 // rig is a running deployment and the record of what it did.
@@ -152,8 +155,8 @@
 // start starts the process of a machine with the command of the deploy file. first says
 // that the whole system starts for the first time.
 func (r *rig) start(n *node, first bool) error {
-	file := filepath.Join(r.folder, n.name+".toml")
-	if err := os.WriteFile(file, []byte(r.settings(n, first)), 0o600); err != nil {
+	n.settingsFile = filepath.Join(r.folder, n.name+".toml")
+	if err := os.WriteFile(n.settingsFile, []byte(r.settings(n, first)), 0o600); err != nil {
 		return err
 	}
 	program := "target/hornbeam-gateway"
@@ -164,7 +167,7 @@
 		}
 	}
 	var err error
-	n.process, err = proc.StartEnv(r.folder, n.name, []string{"HORNBEAMSTACK_SETTINGS=" + file}, program)
+	n.process, err = proc.StartEnv(r.folder, n.name, []string{"HORNBEAMSTACK_SETTINGS=" + n.settingsFile}, program)
 	return err
 }
 
