--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -7,4 +7,4 @@
 	echo "build first: the build line of deploy/system.toml, then review/build-2.sh" >&2
 	exit 2
 fi
-exec target/review2/rig2 pipeline "$here/record.txt"
+exec target/review2/rig2 order "$here/record.txt"
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -17,6 +17,7 @@
 	"shrink":   runShrink,
 	"pipeline": runPipeline,
 	"memory":   runMemory,
+	"order":    runOrder,
 }
 
 func main() { os.Exit(run()) }
