--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -3,8 +3,14 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
+// longestRun is the time after which a case is given up.
+const longestRun = 115 * time.Second
+
 // Exit statuses.
 const (
 	exitHeld   = 0
@@ -33,6 +39,7 @@
 		return exitFailed
 	}
 	defer r.close()
+	go r.giveUp()
 	broken, err := cases[os.Args[1]](r)
 	switch {
 	case err != nil:
@@ -45,3 +52,18 @@
 	r.note("RESULT: the rule held")
 	return exitHeld
 }
+
+// giveUp ends the processes and the program if the case takes too long or a signal asks
+// for it.
+func (r *rig) giveUp() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	select {
+	case s := <-signals:
+		r.note("the case could not run: ended by the signal %v", s)
+	case <-time.After(longestRun):
+		r.note("the case could not run: not at its end after %v", longestRun)
+	}
+	r.close()
+	os.Exit(exitFailed)
+}
--- a/review/rig2/memory.go
+++ b/review/rig2/memory.go
@@ -19,7 +19,7 @@
 	stormLength, changeGap, stormPause = 1500 * time.Millisecond, 60 * time.Millisecond, 100 * time.Millisecond
 	// changes is the largest number of changes, and memoryTime the longest time of the case.
 	changes    = 900
-	memoryTime = 100 * time.Second
+	memoryTime = 95 * time.Second
 	// endsOfItself is the number of ends of one machine's process that counts.
 	endsOfItself  = 3
 	checkInterval = 100 * time.Millisecond
@@ -180,7 +180,7 @@
 			sent := time.Now()
 			version++
 			routes[version%len(routes)].kind = []string{"safe", "unsafe"}[version/len(routes)%2]
-			if err := r.submit(version, desiredState(version, routes), r.cores(), 20*time.Second); err != nil {
+			if err := r.submit(version, desiredState(version, routes), r.cores(), 15*time.Second); err != nil {
 				return version, err
 			}
 			time.Sleep(max(0, changeGap-time.Since(sent)))
