--- a/internal/core/group.go
+++ b/internal/core/group.go
@@ -12,7 +12,8 @@
 
 const (
 	// removeAfter is how long a control host may stay silent before the group
-	// removes it as a member. Restarts and short outages are shorter.
+	// removes it as a member, if enough others stay. Restarts and short outages are
+	// shorter.
 	removeAfter = 10 * time.Second
 	// reopenInterval is the pause before a failed group is restarted.
 	reopenInterval     = time.Second
@@ -59,7 +60,8 @@
 	}
 	return replica.Config{
 		Host: n.config.Name, Peer: n.config.Peer, Folder: filepath.Join(n.config.Folder, "agree"), Members: members,
-		AllowJoin: true, SilentAfter: removeAfter, NoBootstrap: !n.config.Founding || !listed,
-		Server: n.config.Server, Client: n.config.Client, Machine: n.machine, Log: n.config.Log,
+		AllowJoin: true, SilentAfter: removeAfter, ToleratedLosses: n.config.ToleratedLosses,
+		NoBootstrap: !n.config.Founding || !listed,
+		Server:      n.config.Server, Client: n.config.Client, Machine: n.machine, Log: n.config.Log,
 	}
 }
--- a/internal/core/submit.go
+++ b/internal/core/submit.go
@@ -17,6 +17,9 @@
 	// foundingDelay is how long a newly founded group waits for other hosts to join
 	// before it accepts commands, so that the first ones are already replicated.
 	foundingDelay = 1500 * time.Millisecond
+	// foundingLimit is how long it waits at most until its members survive the
+	// tolerated losses. A deployment may have fewer control hosts than that takes.
+	foundingLimit = 4 * time.Second
 )
 
 // refusedError reports that a command was committed without effect. It is not submitted
@@ -93,7 +96,7 @@
 }
 
 func (n *Node) propose(ctx context.Context, g *replica.Group, data []byte) (fleet.SubmitReply, error) {
-	if n.config.Founding && n.now() < foundingDelay {
+	if n.config.Founding && awaitsMembers(n.now(), g.Status().SurvivedLosses, n.config.ToleratedLosses) {
 		return fleet.SubmitReply{}, errors.New("the group has just been founded and waits for members")
 	}
 	refusal, err := g.Propose(ctx, data)
@@ -103,6 +106,12 @@
 	return fleet.SubmitReply{}, err
 }
 
+// awaitsMembers reports whether a group that was founded now ago and survives the given
+// number of lost disks waits for more members before it accepts commands.
+func awaitsMembers(now time.Duration, survived, tolerated int) bool {
+	return now < foundingDelay || survived < tolerated && now < foundingLimit
+}
+
 // Current returns a desired state that includes every command committed before the
 // call.
 func (n *Node) Current(ctx context.Context) (desired.State, error) {
--- a/internal/platformnode/core.go
+++ b/internal/platformnode/core.go
@@ -33,7 +33,8 @@
 	n := core.Start(p.ctx, core.Config{
 		Name: s.Ip, Peer: s.PeerAddress(), Relay: s.RelayAddress(), Zone: s.Zone, Region: s.Region, Folder: s.DataDir,
 		Seeds: s.SeedPeers(), Founding: s.Bootstrap, Heartbeat: s.Heartbeat(),
-		Server: server, Client: p.client, Log: p.log,
+		ToleratedLosses: s.Tolerate.Machines,
+		Server:          server, Client: p.client, Log: p.log,
 	})
 	go func() { _ = server.Serve(p.ctx, listener) }() // returns when p.ctx ends
 	r := relay.New(relay.Config{Codec: platform.Codec{}, MaxIdleConnections: s.MaxIdleConnections(), Find: n.TargetAt, ReportLeaving: n.ReportLeaving, Metrics: n.Metrics(), Log: p.log})
--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -60,6 +60,9 @@
 	// long a member may stay silent before it is removed; 0 means that it stays.
 	AllowJoin   bool
 	SilentAfter time.Duration
+	// ToleratedLosses is the number of members that may lose their disks at the
+	// same time; see agree.Options.
+	ToleratedLosses int
 	// NoBootstrap keeps this host from bootstrapping a group, since it may have
 	// lost its disk.
 	NoBootstrap bool
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -74,7 +74,7 @@
 	}
 	g.node = agree.New(agree.Options{
 		Self: g.self, Peer: c.peerAddress(c.Host), State: p.State, Snapshot: p.Snapshot, Entries: p.Entries,
-		Random: rand.Int64N, AllowJoin: c.AllowJoin, SilentAfter: c.SilentAfter,
+		Random: rand.Int64N, AllowJoin: c.AllowJoin, SilentAfter: c.SilentAfter, ToleratedLosses: c.ToleratedLosses,
 	}, g.now())
 	g.applier = newApplier(c.Machine, p.Snapshot.Index, g.fail)
 	g.publish()
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -24,8 +24,11 @@
 	Commit      uint64 // index of the last committed entry
 	Applied     uint64 // index of the last entry applied to the state machine
 	Members     []MemberStatus
-	IsLeader    bool
-	LeaderSince time.Time // zero unless leader
+	// SurvivedLosses is the number of members that may lose their disks while a
+	// majority keeps them.
+	SurvivedLosses int
+	IsLeader       bool
+	LeaderSince    time.Time // zero unless leader
 	// LeaseEnd is the end of the leader's lease: no other host can be
 	// elected before. Zero if there is none.
 	LeaseEnd time.Time
@@ -40,6 +43,7 @@
 	s := Status{
 		Host: g.self.Name, Incarnation: g.self.Incarnation, Leader: g.leader(n), Term: n.Term,
 		Commit: n.Commit, Applied: g.applier.index(), IsLeader: n.Role == agree.Leader && !g.stopped(), Err: err,
+		SurvivedLosses: n.Members.SurvivedLosses(),
 	}
 	for _, m := range n.Members.Servers {
 		s.Members = append(s.Members, MemberStatus{Name: m.ID.Name, Peer: m.Peer, Incarnation: m.ID.Incarnation, Voter: m.Voter})
--- a/pkg/agree/change.go
+++ b/pkg/agree/change.go
@@ -67,7 +67,7 @@
 		if s.ID == n.self || n.now-n.progressOf(s.ID).lastHeard < n.options.SilentAfter {
 			continue
 		}
-		if s.Voter && members.voters() <= minVoters {
+		if s.Voter && !n.mayRemoveVoter() {
 			continue
 		}
 		n.changeMembership(members.without(s.ID.Name))
@@ -75,6 +75,17 @@
 	}
 }
 
+// mayRemoveVoter reports whether the group without one of its voters still survives the
+// tolerated losses, or as many as with it: an even number of voters survives no more than
+// one voter less, so that replaced hosts do not add up in a small group.
+func (n *Node) mayRemoveVoter() bool {
+	voters := n.members.current().voters()
+	if voters <= minVoters {
+		return false
+	}
+	return survivedLosses(voters-1) >= min(n.options.ToleratedLosses, survivedLosses(voters))
+}
+
 // checkChangeAllowed returns ErrNotReady or ErrChangePending if a membership change
 // would break I5.
 func (n *Node) checkChangeAllowed() error {
--- a/pkg/agree/membership.go
+++ b/pkg/agree/membership.go
@@ -32,6 +32,12 @@
 // Quorum is the smallest number of voters that is a majority.
 func (m Membership) Quorum() int { return m.voters()/2 + 1 }
 
+// SurvivedLosses is the number of voters that may lose their disks while the others are
+// still a majority.
+func (m Membership) SurvivedLosses() int { return survivedLosses(m.voters()) }
+
+func survivedLosses(voters int) int { return (voters - 1) / 2 }
+
 func (m Membership) voters() int {
 	voters := 0
 	for _, s := range m.Servers {
--- a/pkg/agree/options.go
+++ b/pkg/agree/options.go
@@ -53,6 +53,10 @@
 	// SilentAfter is how long a member may leave messages unanswered before the
 	// leader removes it; 0 means that it stays.
 	SilentAfter time.Duration
+	// ToleratedLosses is the number of voters that may lose their disks at the
+	// same time. The removal of silent members leaves enough voters for that: a
+	// majority keeps its disks, and with it all committed entries. 0 counts as 1.
+	ToleratedLosses int
 
 	ElectionMin time.Duration
 	ElectionMax time.Duration
@@ -69,4 +73,5 @@
 	if o.Heartbeat == 0 {
 		o.Heartbeat = DefaultHeartbeat
 	}
+	o.ToleratedLosses = max(o.ToleratedLosses, 1)
 }
--- a/pkg/agree/sim_test.go
+++ b/pkg/agree/sim_test.go
@@ -65,6 +65,7 @@
 
 	open   bool          // servers that are not in the membership may join
 	silent time.Duration // silence after which the leader removes a member
+	losses int           // Options.ToleratedLosses of all servers
 
 	committed []Entry  // log of all servers together, from index 1
 	terms     []uint64 // by entry: term in which it was first applied
@@ -109,7 +110,8 @@
 	v.applied, v.value = v.disk.snapshot.Index, string(v.disk.snapshot.Data)
 	v.reads = map[uint64]uint64{}
 	v.node = New(Options{Self: v.id, State: v.disk.state, Snapshot: v.disk.snapshot,
-		Entries: slices.Clone(v.disk.entries), Random: s.rand.Int64N, AllowJoin: s.open, SilentAfter: s.silent}, s.clock(v))
+		Entries: slices.Clone(v.disk.entries), Random: s.rand.Int64N, AllowJoin: s.open,
+		SilentAfter: s.silent, ToleratedLosses: s.losses}, s.clock(v))
 }
 
 func (s *sim) stop(v *server) { v.node, v.reads = nil, nil }
