--- a/internal/core/announce.go
+++ b/internal/core/announce.go
@@ -38,19 +38,18 @@
 }
 
 // Leave records that a target is about to exit and returns once its departure is
-// committed to the desired state. The target does not say which incarnation it is: it is
-// the newest one that a control host knows. ctx has to end once the caller closes its
-// connection: a departure that waited for this host may be of an earlier incarnation.
-func (n *Node) Leave(ctx context.Context, name string) error {
-	d := desired.Departure{Name: name}
-	err := checkCaller(ctx, func() (err error) {
-		d.Life, err = n.newestLife(ctx, name)
-		return err
-	})
+// committed to the desired state. The target does not say which incarnation it is. Without
+// a basis Leave returns a *ConfirmationError with the newest life that a control host knows:
+// a caller that repeats the order still runs, so that no later incarnation has started.
+func (n *Node) Leave(ctx context.Context, name string, basis Basis) error {
+	if basis != 0 {
+		return n.submitDeparture(ctx, desired.Departure{Name: name, Life: roster.Life(basis)})
+	}
+	life, err := n.newestLife(ctx, name)
 	if err != nil {
 		return err
 	}
-	return n.submitDeparture(ctx, d)
+	return &ConfirmationError{Basis: Basis(max(life, 1))}
 }
 
 // TargetAt returns a target and whether its newest announcement gave this address.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -253,9 +253,7 @@
 		return reply
 	}
 	eventually(func() bool { pull(); return req.Version == 3 && known["t"] })
-	if err := c.hosts[2].node.Leave(context.Background(), "t"); err != nil {
-		t.Fatal(err)
-	}
+	leave(c.hosts[2])
 	eventually(func() bool { reply := pull(); return reply.Orders != nil || !known["t"] })
 	eventually(func() bool { return len(c.hosts[2].node.EntriesFor("r", "z")) == 1 || pull().EntryCount < 0 })
 	if fronts := c.hosts[2].node.EntriesFor("r", "elsewhere"); len(fronts) != 1 || fronts[0] != "f:1" {
--- a/internal/core/departure_test.go
+++ b/internal/core/departure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
@@ -15,12 +16,14 @@
 		Name: "t", Life: life, Sequence: 1, Service: "s", Address: "127.0.0.1:1", Zone: "z", Slots: 1}})
 }
 
-// leave tells a host that target "t" leaves, until the host acknowledges it.
+// leave tells a host that target "t" leaves and confirms it, until the host acknowledges it.
 func leave(h *host) {
 	eventually(func() bool {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
-		return h.node.Leave(ctx, "t") == nil
+		err := h.node.Leave(ctx, "t", 0)
+		var confirm *ConfirmationError
+		return errors.As(err, &confirm) && h.node.Leave(ctx, "t", confirm.Basis) == nil
 	})
 }
 
