--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -13,9 +13,10 @@
 	maxMessageBytes = 128 << 20
 	// dialTimeout bounds connection set-up to an unresponsive host.
 	dialTimeout = time.Second
-	// sendQueueLength is the number of messages that may wait for a slow or
-	// unresponsive peer.
+	// sendQueueLength and sendQueueBytes limit the messages that wait for a slow
+	// or unresponsive peer.
 	sendQueueLength = 1024
+	sendQueueBytes  = 16 << 20
 	// silenceLimit is how long a call must have waited, with nothing received on
 	// the connection meanwhile, for its timeout to close the connection. TCP alone
 	// would keep a dead connection for minutes.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -157,3 +157,21 @@
 		t.Errorf("call of an unknown method: error %v, want that of the server", err)
 	}
 }
+
+// Guards against messages to a host that reads nothing which fill the memory although few
+// of them wait.
+func TestQueuedBytesAreLimited(t *testing.T) {
+	s := newSession("127.0.0.1:1", nil, &Traffic{}, func(*session) {})
+	large := &envelope{Body: make([]byte, sendQueueBytes/4)}
+	for range 4 {
+		if err := s.enqueue(large); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := s.enqueue(&envelope{Body: []byte("x")}); !errors.Is(err, ErrQueueFull) {
+		t.Errorf("a message over the limit of bytes was queued with error %v, want ErrQueueFull", err)
+	}
+	if err := s.enqueue(&envelope{Kind: kindCancel}); err != nil {
+		t.Errorf("a message without a body was not queued: %v", err)
+	}
+}
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -8,6 +8,8 @@
 
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
+
+	"github.com/hornbeamstack/hornbeamstack/internal/bytelimit"
 )
 
 // session is the client side of the connection to one address. It ends with the
@@ -18,7 +20,8 @@
 	traffic *Traffic
 	onEnd   func(*session)
 	queue   chan *envelope // messages to be sent
-	done    chan struct{}  // closed when the session has failed
+	queued  *bytelimit.Limit
+	done    chan struct{} // closed when the session has failed
 
 	mu       sync.Mutex
 	nextID   uint64
@@ -31,6 +34,7 @@
 	return &session{
 		addr: addr, local: local, traffic: traffic, onEnd: onEnd,
 		queue:    make(chan *envelope, sendQueueLength),
+		queued:   bytelimit.New(sendQueueBytes),
 		done:     make(chan struct{}),
 		pending:  map[uint64]chan *envelope{},
 		lastRecv: time.Now(),
@@ -66,6 +70,7 @@
 	for {
 		select {
 		case env := <-s.queue:
+			s.queued.Release(len(env.Body))
 			if err := stream.MsgSend(env, cborEncoding{}); err != nil {
 				s.fail(ErrConnectionLost)
 				return
@@ -141,10 +146,14 @@
 		return s.cause()
 	default:
 	}
+	if !s.queued.Acquire(len(env.Body)) {
+		return ErrQueueFull
+	}
 	select {
 	case s.queue <- env:
 		return nil
 	default:
+		s.queued.Release(len(env.Body))
 		return ErrQueueFull
 	}
 }
--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -17,9 +17,11 @@
 	// maxBatch limits how many further inputs share one write to disk with the
 	// first one.
 	maxBatch = 256
-	// inboxLength is the number of messages that may wait for the loop. Further
-	// ones are dropped; the protocol tolerates lost messages.
+	// inboxLength and inboxBytes limit the messages that wait for the loop, as
+	// while the disk stands still. Further ones are dropped; the protocol
+	// tolerates lost messages.
 	inboxLength = 1024
+	inboxBytes  = 16 << 20
 	// probeInterval is the time between calls that detect connections which
 	// are open but dead. probeTimeout exceeds the 1 s of silence during a call
 	// after which package peer replaces the connection.
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/hornbeamstack/hornbeamstack/internal/bytelimit"
 	"github.com/hornbeamstack/hornbeamstack/internal/peer"
 	"github.com/hornbeamstack/hornbeamstack/pkg/agree"
 	"github.com/hornbeamstack/hornbeamstack/pkg/wal"
@@ -20,12 +21,13 @@
 	journal *journal
 	applier *applier
 
-	inbox chan agree.Message
-	calls chan func() // run by the loop
-	saved chan savedSnapshot
-	quit  chan struct{} // closed by Stop or fail
-	once  sync.Once
-	wg    sync.WaitGroup
+	inbox  chan agree.Message
+	queued *bytelimit.Limit // bytes of the messages in inbox
+	calls  chan func()      // run by the loop
+	saved  chan savedSnapshot
+	quit   chan struct{} // closed by Stop or fail
+	once   sync.Once
+	wg     sync.WaitGroup
 
 	// Fields used by the loop only.
 	node           *agree.Node
@@ -64,7 +66,7 @@
 	g := &Group{
 		config: c, self: agree.ID{Name: identity.Host, Incarnation: identity.Incarnation},
 		start: time.Now(), journal: j,
-		inbox: make(chan agree.Message, inboxLength), calls: make(chan func()),
+		inbox: make(chan agree.Message, inboxLength), queued: bytelimit.New(inboxBytes), calls: make(chan func()),
 		saved: make(chan savedSnapshot, 1), quit: make(chan struct{}),
 		pending: map[uint64]proposal{}, reads: map[uint64]chan<- agree.ReadResult{},
 		contacts: map[string]string{},
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -51,6 +51,7 @@
 }
 
 func (g *Group) step(m agree.Message) {
+	g.queued.Release(m.Bytes())
 	if err := g.node.Step(g.now(), m); err != nil {
 		g.fail(err)
 	}
--- a/internal/replica/serve.go
+++ b/internal/replica/serve.go
@@ -3,8 +3,22 @@
 import (
 	"context"
 	"fmt"
+
+	"github.com/hornbeamstack/hornbeamstack/pkg/agree"
 )
 
+// receive passes a message on to the loop, or drops it if too many wait already.
+func (g *Group) receive(m *agree.Message) {
+	if !g.queued.Acquire(m.Bytes()) {
+		return
+	}
+	select {
+	case g.inbox <- *m:
+	default:
+		g.queued.Release(m.Bytes())
+	}
+}
+
 // serve handles a request from another control host.
 func (g *Group) serve(ctx context.Context, from string, req wireRequest) (wireReply, error) {
 	if g.stopped() {
@@ -15,10 +29,7 @@
 		if req.Message == nil {
 			return wireReply{}, fmt.Errorf("message from %s is empty", from)
 		}
-		select {
-		case g.inbox <- *req.Message:
-		default: // dropped; the protocol repeats lost messages
-		}
+		g.receive(req.Message)
 		return wireReply{}, nil
 	case wireHello:
 		g.mu.Lock()
--- a/pkg/agree/compact.go
+++ b/pkg/agree/compact.go
@@ -17,15 +17,13 @@
 }
 
 // Compact drops the entries that the durable snapshot s covers, except for the
-// last trailingEntries, which slow followers may need.
+// last ones up to trailingEntries and trailingBytes, which slow followers may need.
 func (n *Node) Compact(s Snapshot) {
 	if s.Index <= n.snapshot.Index {
 		return
 	}
 	n.snapshot = s
-	if s.Index > trailingEntries {
-		n.log.compact(s.Index - trailingEntries)
-	}
+	n.log.compact(n.log.trailingStart(s.Index, trailingEntries, trailingBytes))
 	n.members.dropSuperseded(n.snapshot.Index)
 }
 
--- a/pkg/agree/log.go
+++ b/pkg/agree/log.go
@@ -73,6 +73,20 @@
 	return entries
 }
 
+// trailingStart returns the index after which the held entries up to index are at most
+// maxEntries and maxBytes.
+func (l *entryLog) trailingStart(index uint64, maxEntries, maxBytes int) uint64 {
+	start, size := index, 0
+	for start > l.base && index-start < uint64(maxEntries) {
+		size += l.entries[start-l.base-1].bytes()
+		if size > maxBytes {
+			break
+		}
+		start--
+	}
+	return start
+}
+
 // compact drops entries up to and including index.
 func (l *entryLog) compact(index uint64) {
 	if index <= l.base {
--- a/pkg/agree/message.go
+++ b/pkg/agree/message.go
@@ -44,3 +44,15 @@
 
 	Snapshot *Snapshot `cbor:"15,keyasint,omitempty"`
 }
+
+// Bytes approximates the size of the entries and of the snapshot in a message.
+func (m *Message) Bytes() int {
+	size := 0
+	for i := range m.Entries {
+		size += m.Entries[i].bytes()
+	}
+	if m.Snapshot != nil {
+		size += len(m.Snapshot.Data)
+	}
+	return size
+}
--- a/pkg/agree/node.go
+++ b/pkg/agree/node.go
@@ -104,13 +104,27 @@
 	if n.role != Leader {
 		return 0, 0, ErrNotLeader
 	}
-	if n.log.last()-n.commit >= maxUncommitted {
+	if !n.fitsUncommitted(len(command)) {
 		return 0, 0, ErrTooManyUncommitted
 	}
 	e := n.append(Entry{Kind: EntryCommand, Command: command})
 	return e.Index, e.Term, nil
 }
 
+// fitsUncommitted reports whether a command of this size may be appended. A command of any
+// size may while nothing else is uncommitted.
+func (n *Node) fitsUncommitted(size int) bool {
+	uncommitted := n.log.between(n.commit, n.log.last())
+	if len(uncommitted) >= maxUncommitted {
+		return false
+	}
+	held := 0
+	for i := range uncommitted {
+		held += len(uncommitted[i].Command)
+	}
+	return held == 0 || held+size <= maxUncommittedBytes
+}
+
 // append adds an entry of the current term to this server's log.
 func (n *Node) append(e Entry) Entry {
 	e.Index, e.Term = n.log.last()+1, n.state.Term
--- a/pkg/agree/options.go
+++ b/pkg/agree/options.go
@@ -15,9 +15,10 @@
 	// maxAppendBytes limits the total size of the entries in one append. A larger
 	// entry is sent on its own.
 	maxAppendBytes = 1 << 20
-	// maxUncommitted is the number of uncommitted entries at which a leader
-	// rejects further proposals.
-	maxUncommitted = 4096
+	// maxUncommitted and maxUncommittedBytes limit the uncommitted entries, above
+	// which a leader rejects further proposals.
+	maxUncommitted      = 4096
+	maxUncommittedBytes = 16 << 20
 	// resendHeartbeats is the number of heartbeat intervals after which an
 	// unanswered append is sent again.
 	resendHeartbeats = 3
@@ -28,10 +29,11 @@
 	// minVoters is the smallest number of voters that the removal of silent
 	// members leaves.
 	minVoters = 3
-	// trailingEntries is the number of entries before a snapshot that stay in
-	// memory, so that a follower that lags slightly gets entries instead of the
-	// snapshot.
+	// trailingEntries and trailingBytes limit the entries before a snapshot that
+	// stay in memory, so that a follower that lags slightly gets entries instead
+	// of the snapshot. Few large entries are no smaller than the snapshot itself.
 	trailingEntries = 256
+	trailingBytes   = 4 << 20
 	// leaseDriftPercent is the share of a lease that is given up to allow for
 	// clocks that run at different speeds.
 	leaseDriftPercent = 10
