Let entry hosts reach the majority past near control hosts without contact

Cause: a control host without contact to the majority held each pull for 400 ms and was then set aside for 400 ms. Two of four such hosts near by were always free again when an entry host chose the next one, so that it never turned to the others.

Change: a control host without contact answers pulls at once. It is set aside for longer with each such answer, up to 3 s. After 1 s without contact one of the two pulls asks the hosts in turn; the other stays with the nearest, which know the targets of their side.

--- a/internal/core/pull.go
+++ b/internal/core/pull.go
@@ -14,7 +14,8 @@
 
 // pull handles the long poll of an entry host. It replies as soon as the entry host
 // lacks a document, orders or a target, or contact with the majority changes, and
-// after req.Wait at the latest.
+// after req.Wait at the latest. Without contact it replies at once, since the entry host
+// has to turn to another control host.
 func (n *Node) pull(ctx context.Context, _ string, req fleet.PullRequest) (fleet.PullReply, error) {
 	n.entries.record(n.now(), 0, req.Entry, true)
 	n.count("pulls")
@@ -24,11 +25,10 @@
 	}
 	deadline := time.NewTimer(req.Wait)
 	defer deadline.Stop()
-	fresh := n.fresh()
 	for {
 		changed := n.changed.wait()
 		reply, urgent := n.buildPullReply(&req)
-		if urgent || req.Wait <= 0 || fresh != reply.Fresh {
+		if urgent || req.Wait <= 0 || !reply.Fresh {
 			return reply, nil
 		}
 		select {
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -21,24 +21,27 @@
 	// link delays answers by more than a second.
 	pullTimeout = 2 * time.Second
 	// unreachableBackoff is how long a control host that did not answer is set aside.
-	// refusedBackoff applies to one that refused the connection or answered that it
-	// is not in contact with a majority. It is also the shortest time after a failure
+	// refusedBackoff applies to one that refused the connection, and to the first
+	// answer that it is not in contact with a majority; it doubles with each further
+	// one up to unreachableBackoff. It is also the shortest time after a failure
 	// before any control host is asked again.
 	unreachableBackoff = 3 * time.Second
 	refusedBackoff     = 400 * time.Millisecond
+	maxDoublings       = 8                      // of refusedBackoff, far over unreachableBackoff
 	idlePause          = 100 * time.Millisecond // while no control host may be asked
 )
 
 // controlState is the state of one control host as the watch knows it.
 type controlState struct {
-	control      fleet.Control
-	epoch        int64         // start of the control host that answered last
-	revision     uint64        // of the targets in the last reply
-	watched      bool          // a watcher is pulling from it
-	states       uint64        // revision of the target states in the last reply
-	lastAnswer   time.Duration // last reply while in contact with a majority, 0 if there was none
-	backoffUntil time.Duration // set aside until then, unless all others are too
-	lastFailure  time.Duration // last failure, 0 if there was none
+	control        fleet.Control
+	epoch          int64         // start of the control host that answered last
+	revision       uint64        // of the targets in the last reply
+	watched        bool          // a watcher is pulling from it
+	states         uint64        // revision of the target states in the last reply
+	lastAnswer     time.Duration // last reply while in contact with a majority, 0 if there was none
+	backoffUntil   time.Duration // set aside until then, unless all others are too
+	lastFailure    time.Duration // last failure, 0 if there was none
+	withoutContact int           // answers since the last one in contact with a majority
 	// fetchBackoffUntil is when documents are fetched from the control host again.
 	fetchBackoffUntil time.Duration
 	newest            policy.Version // newest version that the control host offered
@@ -88,17 +91,17 @@
 func (w *watch) run(ctx context.Context) {
 	var wg sync.WaitGroup
 	wg.Go(func() { w.fetcher.run(ctx) })
-	for range watchers {
-		wg.Go(func() { w.watchOne(ctx) })
+	for i := range watchers {
+		wg.Go(func() { w.watchOne(ctx, watcherRole(i)) })
 	}
 	wg.Wait()
 }
 
 // watchOne pulls from one control host after another until ctx ends. It changes
 // after a failed pull and when a nearer control host becomes available.
-func (w *watch) watchOne(ctx context.Context) {
+func (w *watch) watchOne(ctx context.Context, r role) {
 	for ctx.Err() == nil {
-		c := w.pick()
+		c := w.pick(r)
 		if c == nil {
 			_ = wait.For(ctx, idlePause) // the loop condition checks ctx
 			continue
@@ -136,11 +139,21 @@
 	w.apply(c, &reply)
 	w.checkContact()
 	if !reply.Fresh {
-		w.backOff(c, refusedBackoff, "not in contact with a majority", nil)
+		w.noContact(c)
 	}
 	return reply.Fresh
 }
 
+// noContact sets a control host aside that is not in contact with a majority, for longer
+// with each answer in a row, so that watchers rarely leave others to ask it again.
+func (w *watch) noContact(c *controlState) {
+	w.mu.Lock()
+	during := min(refusedBackoff<<min(c.withoutContact, maxDoublings), unreachableBackoff)
+	c.withoutContact++
+	w.mu.Unlock()
+	w.backOff(c, during, "not in contact with a majority", nil)
+}
+
 // backOff sets a control host aside for a time after a failure.
 func (w *watch) backOff(c *controlState, during time.Duration, reason string, err error) {
 	w.mu.Lock()
@@ -183,6 +196,7 @@
 	c.epoch, c.revision = reply.Epoch, reply.Revision
 	if reply.Fresh {
 		w.lastFresh, c.lastAnswer = now, now
+		c.withoutContact = 0
 	}
 	if reply.Controls != nil {
 		w.setControls(reply)
--- a/internal/gateway/watch_choice.go
+++ b/internal/gateway/watch_choice.go
@@ -5,14 +5,37 @@
 	"slices"
 )
 
+// role is what a watcher does while the entry host has no contact with a majority.
+type role int
+
+const (
+	// nearest stays with the control hosts that are nearest: they know the targets of
+	// this host's side of a partition.
+	nearest role = iota
+	// seeking asks the control hosts in turn, so that near ones without contact cannot
+	// keep it from farther ones in contact.
+	seeking
+)
+
+// watcherRole returns the role of the watcher with a number.
+func watcherRole(i int) role {
+	if i == 0 {
+		return nearest
+	}
+	return seeking
+}
+
 // pick marks the nearest control host that is neither watched nor set aside as
-// watched and returns it. If there is none, it picks the one that failed longest
-// ago: after a common outage all have failed, and some may have recovered. It
-// returns nil if there is none of these either.
-func (w *watch) pick() *controlState {
+// watched and returns it. If there is none, or for a seeking watcher without contact, it
+// picks the one that failed longest ago: after a common outage all have failed, and some
+// may have recovered. It returns nil if there is none of these either.
+func (w *watch) pick(r role) *controlState {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	c := w.best(w.free)
+	var c *controlState
+	if r != seeking || w.now()-w.lastFresh <= contactLimit {
+		c = w.best(w.free)
+	}
 	if c == nil {
 		c = w.leastRecentlyFailed()
 	}
@@ -33,15 +56,23 @@
 		if c.watched || w.now()-c.lastFailure < refusedBackoff {
 			continue
 		}
-		if first == nil || c.lastFailure < first.lastFailure {
+		if first == nil || w.failedEarlier(c, first) {
 			first = c
 		}
 	}
 	return first
 }
 
-// best returns the nearest control host that fits, nil if none does. Equal distances
-// are ordered by peer address; the lock is held.
+// failedEarlier reports whether a control host failed longer ago than another, or is
+// nearer if neither has failed; the lock is held.
+func (w *watch) failedEarlier(a, b *controlState) bool {
+	if a.lastFailure != b.lastFailure {
+		return a.lastFailure < b.lastFailure
+	}
+	return w.compareDistance(a, b) < 0
+}
+
+// best returns the nearest control host that fits, nil if none does; the lock is held.
 func (w *watch) best(fits func(*controlState) bool) *controlState {
 	var list []*controlState
 	for _, c := range w.controls {
@@ -52,9 +83,12 @@
 	if len(list) == 0 {
 		return nil
 	}
-	return slices.MinFunc(list, func(a, b *controlState) int {
-		return cmp.Or(cmp.Compare(w.distance(a), w.distance(b)), cmp.Compare(a.control.Peer, b.control.Peer))
-	})
+	return slices.MinFunc(list, w.compareDistance)
+}
+
+// compareDistance orders control hosts by distance, and equal distances by peer address.
+func (w *watch) compareDistance(a, b *controlState) int {
+	return cmp.Or(cmp.Compare(w.distance(a), w.distance(b)), cmp.Compare(a.control.Peer, b.control.Peer))
 }
 
 // Distances of control hosts.
--- a/internal/gateway/watch_loss_test.go
+++ b/internal/gateway/watch_loss_test.go
@@ -58,7 +58,7 @@
 		if got, _ := w.view.versions(); got == 2 {
 			return
 		}
-		c := w.pick()
+		c := w.pick(nearest)
 		if c == nil {
 			t.Fatalf("no control host can be asked after %d failed pulls", asked)
 		}
@@ -76,13 +76,13 @@
 		w.backOff(c, unreachableBackoff, "unreachable", nil)
 		now += 100 * time.Millisecond
 	}
-	if c := w.pick(); c != nil {
+	if c := w.pick(nearest); c != nil {
 		t.Fatalf("%s is asked again without a pause", c.control.Peer)
 	}
 	now += refusedBackoff
 	asked := map[string]bool{}
 	for range len(w.controls) {
-		c := w.pick()
+		c := w.pick(nearest)
 		if c == nil {
 			t.Fatalf("after %s only %d of %d control hosts are asked", now, len(asked), len(w.controls))
 		}
