--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -59,6 +59,9 @@
 	codec   Codec
 	resume  chan bool // tells readLoop that the response was read; false ends the connection
 	onDead  func(*Conn)
+
+	writeMu  sync.Mutex // held during a write
+	writeErr error      // of the first write that failed
 }
 
 // Result is a response, or the error that occurred instead.
@@ -74,9 +77,13 @@
 	if err != nil {
 		return nil, err
 	}
+	return newConn(to, conn), nil
+}
+
+func newConn(to Endpoint, conn net.Conn) *Conn {
 	limiter := NewHeadLimiter(conn)
 	return &Conn{to: to, conn: conn, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBuffer),
-		resume: make(chan bool, 1), fresh: true}, nil
+		resume: make(chan bool, 1), fresh: true}
 }
 
 // setUnackedTimeout sets TCP_USER_TIMEOUT on a socket before it connects.
@@ -176,7 +183,11 @@
 func (u *Conn) readHead(request *http.Request) (*http.Response, error) {
 	u.limiter.Allow(maxHead + readBuffer)
 	defer u.limiter.RemoveLimit()
-	return http.ReadResponse(u.reader, request)
+	response, err := http.ReadResponse(u.reader, request)
+	if err == nil && isUnframed(response) {
+		response.Body = &unframedBody{ReadCloser: response.Body, conn: u}
+	}
+	return response, err
 }
 
 // Expect registers a request that is about to be written and returns the channel
@@ -235,6 +246,3 @@
 // SetWriteDeadline limits later writes. Its error is ignored: if the connection
 // has ended, the next write fails.
 func (u *Conn) SetWriteDeadline(t time.Time) { _ = u.conn.SetWriteDeadline(t) }
-
-// Write sends bytes of a request.
-func (u *Conn) Write(p []byte) (int, error) { return u.conn.Write(p) }
