Refuse answers with a status that does not exist (MIXED)

Callers saw (reported from other systems): an answer with status 000. Here the body of such an answer could reach the caller as an answer of its own.

Cause: net/http parses any three digits. Statuses below 200 were skipped as informational, so that the body behind the head was read as the next answer; 600 and more were passed on.

Change: hop.CheckStatus accepts 100 to 599 but 101, and versions 1.x. Any other answer counts as broken. hornbeam-entry uses the same check.

Same cause elsewhere: relays and what entry hosts read of them use the same code; other messages have other formats.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -16,6 +16,7 @@
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/hornbeamstack/hornbeamstack/internal/hop"
 	"github.com/hornbeamstack/hornbeamstack/pkg/retry"
 	"github.com/hornbeamstack/hornbeamstack/pkg/slots"
 )
@@ -209,13 +210,14 @@
 	return response, nil
 }
 
-// checkResponse returns an error for a response whose end cannot be detected or
-// that belongs to another attempt.
+// checkResponse returns an error for a malformed response, for one whose end cannot be
+// detected and for one that belongs to another attempt.
 func (a *attempt) checkResponse(response *http.Response) error {
+	if err := hop.CheckStatus(response); err != nil {
+		return err
+	}
 	echo, echoed := response.Header[HeaderAttempt]
 	switch {
-	case response.StatusCode == http.StatusSwitchingProtocols:
-		return errors.New("the target switched protocols")
 	case echoed && (len(echo) != 1 || echo[0] != a.name):
 		return fmt.Errorf("the target answered attempt %.100q instead of %q", echo, a.name)
 	case a.conn.echoed(echoed):
--- a/internal/entry/broken_answer_test.go
+++ b/internal/entry/broken_answer_test.go
@@ -47,3 +47,17 @@
 		})
 	}
 }
+
+// Guards against an answer with a status that does not exist, which cannot be passed on, and
+// against the bytes behind it being read as the answer to another request (issue 35).
+func TestStatusThatDoesNotExistIsNoAnswer(t *testing.T) {
+	for _, line := range []string{"HTTP/1.1 000 Zero", "HTTP/1.1 099 Low", "HTTP/1.1 600 High", "HTTP/1.1 999 High", "HTTP/1.1 101 Switching Protocols"} {
+		Convey(line+" is no answer", t, func() {
+			address := rawTarget(t, func(_ int, conn net.Conn, _ *http.Request) bool {
+				_, err := io.WriteString(conn, line+"\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+				return err == nil
+			})
+			So(startHost(t, []string{address}).do("POST", "/s/bookings/x", "", "").status, ShouldEqual, http.StatusBadGateway)
+		})
+	}
+}
--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -184,10 +184,16 @@
 	u.limiter.Allow(maxHead + readBuffer)
 	defer u.limiter.RemoveLimit()
 	response, err := http.ReadResponse(u.reader, request)
-	if err == nil && isUnframed(response) {
+	if err != nil {
+		return nil, err
+	}
+	if err := CheckStatus(response); err != nil {
+		return nil, err
+	}
+	if isUnframed(response) {
 		response.Body = &unframedBody{ReadCloser: response.Body, conn: u}
 	}
-	return response, err
+	return response, nil
 }
 
 // Expect registers a request that is about to be written and returns the channel
