--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -213,7 +213,7 @@
 // checkResponse returns an error for a malformed response, for one whose end cannot be
 // detected and for one that belongs to another attempt.
 func (a *attempt) checkResponse(response *http.Response) error {
-	if err := hop.CheckStatus(response); err != nil {
+	if err := errors.Join(hop.CheckStatus(response), hop.CheckFields(response.Header)); err != nil {
 		return err
 	}
 	echo, echoed := response.Header[HeaderAttempt]
--- a/internal/entry/broken_answer_test.go
+++ b/internal/entry/broken_answer_test.go
@@ -61,3 +61,17 @@
 		})
 	}
 }
+
+// Guards against an answer in whose head the name of a field holds a blank, so that its
+// length or coding is not applied (issue 35).
+func TestOddFieldNameIsNoAnswer(t *testing.T) {
+	for _, field := range []string{"X Y: z", "X : z", "Content-Length : 9", "Transfer-Encoding : chunked"} {
+		Convey("an answer with the field "+field+" is not passed on", t, func() {
+			address := rawTarget(t, func(_ int, conn net.Conn, _ *http.Request) bool {
+				_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+field+"\r\nContent-Length: 2\r\n\r\nok")
+				return err == nil
+			})
+			So(startHost(t, []string{address}).do("POST", "/s/bookings/x", "", "").status, ShouldEqual, http.StatusBadGateway)
+		})
+	}
+}
--- a/internal/gateway/read_request.go
+++ b/internal/gateway/read_request.go
@@ -74,6 +74,9 @@
 	request, err := http.ReadRequest(c.reader)
 	c.limiter.RemoveLimit()
 	_ = c.conn.SetReadDeadline(time.Time{})
+	if err == nil {
+		err = hop.CheckFields(request.Header)
+	}
 	return request, err
 }
 
--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -187,7 +187,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := CheckStatus(response); err != nil {
+	if err := errors.Join(CheckStatus(response), CheckFields(response.Header)); err != nil {
 		return nil, err
 	}
 	if isUnframed(response) {
--- a/internal/hop/head.go
+++ b/internal/hop/head.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 )
 
 // ErrMalformedHead is returned for a message head that breaks the protocol, and that other
@@ -27,3 +28,29 @@
 	}
 	return nil
 }
+
+// CheckFields returns an error if the name of a field holds a blank, as one before the colon,
+// or another byte that no name may hold. net/http keeps such fields beside those that they
+// resemble, so that a length or coding in them is not applied.
+func CheckFields(h http.Header) error {
+	for name := range h {
+		if !isToken(name) {
+			return fmt.Errorf("%w: field name %.100q", ErrMalformedHead, name)
+		}
+	}
+	return nil
+}
+
+// tokenBytes are the bytes of a token (RFC 9110 section 5.6.2) besides letters and digits.
+const tokenBytes = "!#$%&'*+-.^_`|~"
+
+func isToken(name string) bool {
+	for i := range len(name) {
+		c := name[i]
+		letter := 'a' <= c|0x20 && c|0x20 <= 'z'
+		if !letter && (c < '0' || c > '9') && strings.IndexByte(tokenBytes, c) < 0 {
+			return false
+		}
+	}
+	return name != ""
+}
