Open members and claim stores again after a full disk (Acks, CONFIG)

Cause, here in hornbeam-control: a failed write ends the host's member of the agreement group and its claim store, and nothing opened them again before the process was restarted.

Evidence: TestDisksFullOneAfterAnother (internal/replica) and TestLogsFullOneAfterAnother (internal/claims) fail with members and stores that are run as hornbeam-control ran them: the first host never comes back.

Change: replica.Supervisor and claims.Supervisor open a failed member or store again from its log. hornbeam-core uses the first in place of its own loop. A state machine that outlives its member gets each entry once.

Same cause elsewhere: not at hornbeam-core.

--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -50,8 +50,7 @@
 
 	tasks sync.WaitGroup // loops and exchanges in flight
 
-	mu    sync.Mutex
-	group *replica.Group // nil while it is stopped or restarting
+	supervisor *replica.Supervisor // of this host's member of the agreement group
 }
 
 // Start registers the peer methods and starts the loops of the control host. They
@@ -70,7 +69,8 @@
 	peer.Register(c.Server, fleet.MethodExchange, n.handleExchange)
 	peer.Register(c.Server, fleet.MethodSubmit, n.handleSubmit)
 	peer.Register(c.Server, fleet.MethodTarget, n.handleTarget)
-	n.tasks.Go(func() { n.runGroup(ctx) })
+	n.supervisor = replica.NewSupervisor(n.groupConfig())
+	n.tasks.Go(func() { n.supervisor.Run(ctx) })
 	n.tasks.Go(func() { n.exchangeLoop(ctx) })
 	n.tasks.Go(func() { n.sweepLoop(ctx) })
 	n.tasks.Go(func() { n.departureLoop(ctx) })
@@ -156,8 +156,4 @@
 }
 
 // currentGroup returns the running group member, or nil if there is none.
-func (n *Node) currentGroup() *replica.Group {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.group
-}
+func (n *Node) currentGroup() *replica.Group { return n.supervisor.Current() }
--- a/internal/node/claim_log.go
+++ b/internal/node/claim_log.go
@@ -8,11 +8,11 @@
 	"github.com/hornbeamstack/hornbeamstack/pkg/wal"
 )
 
-// claimLog adapts wal.Log to claims.Log.
+// claimLog adapts wal.Log to claims.ClosingLog.
 type claimLog struct{ log *wal.Log }
 
 // openClaimLog opens the claim log of a control host and returns its contents.
-func openClaimLog(dataFolder, host string) (*claimLog, *claims.Recovered, error) {
+func openClaimLog(dataFolder, host string) (claims.ClosingLog, *claims.Recovered, error) {
 	l, r, err := wal.Open(wal.Options{Folder: filepath.Join(dataFolder, "claim"), Host: host, Kind: "claim"})
 	if err != nil {
 		return nil, nil, err
@@ -39,6 +39,9 @@
 	return c.log.Append(recs...)
 }
 
+// Close implements claims.ClosingLog.
+func (c *claimLog) Close() error { return c.log.Close() }
+
 // SaveSnapshot implements claims.Log.
 func (c *claimLog) SaveSnapshot(index uint64, data []byte) error {
 	return c.log.SaveSnapshot(index, data)
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -36,9 +36,8 @@
 	*base
 	settings    *settings.Control
 	machine     *history.Machine
-	group       *replica.Group
-	store       *claims.StoreService
-	claimLog    *claimLog
+	group       *replica.Supervisor
+	store       *claims.Supervisor
 	distributor *rollout.Distributor
 	http        *khttp.Server
 }
@@ -68,14 +67,14 @@
 func (c *Control) build(ctx context.Context, founding bool) error {
 	c.distributor = rollout.NewDistributor(c.server, c.client, c.settings.Peer, c.isLeader, c.log)
 	c.machine.Subscribe(c.distributor.OnAccepted)
-	var err error
-	c.group, err = replica.Start(replica.Config{
+	c.group = replica.NewSupervisor(replica.Config{
 		Host: c.settings.Host, Folder: filepath.Join(c.settings.DataFolder, "agree"), Members: c.members(),
 		Server: c.server, Client: c.client, Machine: c.machine, Log: c.log,
 	})
-	if err != nil {
+	if err := c.group.Open(); err != nil {
 		return err
 	}
+	c.run("agreement", func() error { c.group.Run(ctx); return nil })
 	if err := c.buildClaims(founding); err != nil {
 		return err
 	}
@@ -91,20 +90,14 @@
 }
 
 func (c *Control) buildClaims(founding bool) error {
-	l, recovered, err := openClaimLog(c.settings.DataFolder, c.settings.Host)
-	if err != nil {
-		return err
+	open := func() (claims.ClosingLog, *claims.Recovered, error) {
+		return openClaimLog(c.settings.DataFolder, c.settings.Host)
 	}
-	c.claimLog = l
-	c.store, err = claims.NewStoreService(claims.StoreOptions{
-		Name: c.settings.Host, Log: l, Recovered: recovered, Stores: c.stores, Peers: c.client,
-		Founding: founding, Now: time.Now, Logger: c.log,
-	})
-	if err != nil {
-		return err
-	}
-	c.store.Register(c.server)
-	return nil
+	var err error
+	c.store, err = claims.NewSupervisor(claims.StoreOptions{
+		Name: c.settings.Host, Stores: c.stores, Peers: c.client, Founding: founding, Now: time.Now, Logger: c.log,
+	}, open, c.server)
+	return err
 }
 
 func (c *Control) buildHTTP() {
@@ -155,8 +148,7 @@
 // Stop stops the host after the operator requests in flight, which ctx may cut short.
 func (c *Control) Stop(ctx context.Context) error {
 	err := c.http.Stop(ctx)
-	c.group.Stop()
-	err = errors.Join(err, c.end(), c.claimLog.log.Close())
+	err = errors.Join(err, c.end())
 	c.log.Info("control host ended", "err", err)
 	return err
 }
--- a/internal/node/group.go
+++ b/internal/node/group.go
@@ -8,15 +8,15 @@
 	"github.com/hornbeamstack/hornbeamstack/internal/replica"
 )
 
-// group adapts replica.Group to controlapi.Group.
-type group struct{ *replica.Group }
+// group adapts replica.Supervisor to controlapi.Group.
+type group struct{ *replica.Supervisor }
 
 func (g group) Propose(ctx context.Context, command []byte) ([]byte, error) {
-	reply, err := g.Group.Propose(ctx, command)
+	reply, err := g.Supervisor.Propose(ctx, command)
 	return reply, notLeader(err)
 }
 
-func (g group) Read(ctx context.Context) error { return notLeader(g.Group.Read(ctx)) }
+func (g group) Read(ctx context.Context) error { return notLeader(g.Supervisor.Read(ctx)) }
 
 func (g group) Leader() string { return g.Status().Leader.Name }
 
--- a/internal/replica/applier.go
+++ b/internal/replica/applier.go
@@ -80,8 +80,12 @@
 	}
 }
 
-// perform restores a snapshot, or applies an entry and sends the result.
+// perform restores a snapshot, or applies an entry and sends the result. A state machine
+// that outlived an earlier member of the group holds the first entries already.
 func (a *applier) perform(t *task) {
+	if held := a.index(); t.install != nil && t.install.Index <= held || t.install == nil && t.entry.Index <= held {
+		return // nobody waits for the result: proposals of this member come later
+	}
 	if t.install != nil {
 		if err := a.machine.Restore(t.install.Data); err != nil {
 			a.onError(err)
--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -109,7 +109,7 @@
 	h.group, err = start(Config{
 		Host: name, Members: c.members, Server: server, Client: h.client, Machine: h.machine,
 		Folder: h.folder, Log: log.NewWithOptions(c.t.Output(), log.Options{Prefix: name, ReportTimestamp: true, TimeFormat: "05.000"}),
-	}, wal.Options{Folder: h.folder, Host: name, Files: c.files[name]})
+	}, wal.Options{Folder: h.folder, Host: name, Files: c.files[name]}, 0)
 	if err != nil {
 		c.t.Fatal(err)
 	}
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -47,9 +47,12 @@
 
 // Start recovers the state in the folder and starts this host's member of the
 // group. It does not wait for a leader.
-func Start(c Config) (*Group, error) { return start(c, wal.Options{Folder: c.Folder, Host: c.Host}) }
+func Start(c Config) (*Group, error) {
+	return start(c, wal.Options{Folder: c.Folder, Host: c.Host}, 0)
+}
 
-func start(c Config, o wal.Options) (*Group, error) {
+// start is Start for a state machine that holds the entries up to applied already.
+func start(c Config, o wal.Options, applied uint64) (*Group, error) {
 	if err := c.check(); err != nil {
 		return nil, err
 	}
@@ -57,7 +60,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if p.Snapshot.Index > 0 {
+	if p.Snapshot.Index > applied {
 		if err := c.Machine.Restore(p.Snapshot.Data); err != nil {
 			_ = j.log.Close()
 			return nil, fmt.Errorf("restore snapshot %d: %w", p.Snapshot.Index, err)
@@ -78,7 +81,7 @@
 		Self: g.self, Peer: c.peerAddress(c.Host), State: p.State, Snapshot: p.Snapshot, Entries: p.Entries,
 		Random: rand.Int64N, AllowJoin: c.AllowJoin, SilentAfter: c.SilentAfter, ToleratedLosses: c.ToleratedLosses,
 	}, g.now())
-	g.applier = newApplier(c.Machine, p.Snapshot.Index, g.fail)
+	g.applier = newApplier(c.Machine, max(applied, p.Snapshot.Index), g.fail)
 	g.publish()
 	peer.Register(c.Server, method, g.serve)
 	c.Log.Info("agreement started", "incarnation", g.self.Incarnation, "term", p.State.Term,
