--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -28,10 +28,24 @@
 	MaxIdleConnections int           // idle connections to targets and relays that are kept
 	ApplyLimit         time.Duration // time in which a policy has to be in force, 0 if not stated
 	LinkRate           float64       // capacity of this host's link in bytes a second, 0 if unknown
-	Codec              hop.Codec
-	Decode             func(body []byte) (*policy.Policy, finding.List)
-	Client             *peer.Client
-	Log                *log.Logger
+	// HeldAnswerBytes limits the memory for the parts over 64 KB of answers that are held
+	// since requests behind them were passed on; 0 means defaultHeldAnswerBytes.
+	HeldAnswerBytes int
+	Codec           hop.Codec
+	Decode          func(body []byte) (*policy.Policy, finding.List)
+	Client          *peer.Client
+	Log             *log.Logger
+}
+
+// defaultHeldAnswerBytes is used where the settings do not limit the memory of the process.
+const defaultHeldAnswerBytes = 16 << 20
+
+// heldAnswerBytes returns HeldAnswerBytes or its default.
+func (c *Config) heldAnswerBytes() int {
+	if c.HeldAnswerBytes > 0 {
+		return c.HeldAnswerBytes
+	}
+	return defaultHeldAnswerBytes
 }
 
 // entry returns the part of this host's description that does not change.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,6 +9,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/hornbeamstack/hornbeamstack/internal/bytelimit"
 	"github.com/hornbeamstack/hornbeamstack/internal/fleet"
 	"github.com/hornbeamstack/hornbeamstack/internal/hop"
 	"github.com/hornbeamstack/hornbeamstack/pkg/admission"
@@ -47,6 +48,7 @@
 	gate          *admission.Gate
 	timeouts      *timeouts
 	downloadLimit *downloads
+	held          *bytelimit.Limit // bytes of held answers beyond heldAnswer of each
 	relays        *relays
 	pauses        *evidence.Pauses
 	departures    *departures
@@ -67,6 +69,7 @@
 		reports: newReports(), balance: affinity.NewBalancer(), gate: admission.NewGate(), timeouts: newTimeouts(),
 		pauses: evidence.NewPauses(), departures: newDepartures(), meters: newMeters(), answerGrace: defaultAnswerGrace}
 	g.downloadLimit = newDownloads(c.LinkRate)
+	g.held = bytelimit.New(c.heldAnswerBytes())
 	g.view = newView(&g.config)
 	g.watch = newWatch(&g.config, g.view, g.now, g.self, g.reports, g.departures, g.meters)
 	g.pool = hop.NewPool(c.Codec, g.now, c.MaxIdleConnections)
--- a/internal/gateway/pipeline.go
+++ b/internal/gateway/pipeline.go
@@ -5,7 +5,7 @@
 // pipeline orders the requests of one connection of a caller, which are numbered from 1.
 // An answer that breaks off while it is streamed ends the connection. Hence no request is
 // passed on to a target while an answer before it is streamed, and no answer is streamed
-// once a request behind it was passed on, unless the answer exceeds heldAnswer.
+// once a request behind it was passed on, unless it is too long to be held.
 type pipeline struct {
 	mu       sync.Mutex
 	passedOn uint64          // highest number of a request that was passed on
--- a/internal/gateway/read_answer.go
+++ b/internal/gateway/read_answer.go
@@ -24,12 +24,14 @@
 	}
 	head := make([]byte, 0, min(int(max(response.ContentLength, 512)), limit))
 	head, err := readUpTo(response.Body, head, limit)
+	held := 0
 	if x := d.exchange; err == nil && !x.pipeline.tryStream(x.number) {
-		if head, err = readUpTo(response.Body, head, heldAnswer); err == nil {
+		if head, held, err = d.holdAnswer(response.Body, head); err == nil {
 			x.pipeline.stream(x.number)
 		}
 	}
 	if err != nil && err != io.EOF {
+		d.gateway.held.Release(held)
 		stop()
 		u.Abort()
 		if d.exchange.ctx.Err() != nil {
@@ -48,15 +50,32 @@
 			reply.length = int64(len(head))
 		}
 		d.release(u, e, reusable)
+		reply.finish = func(bool) { d.gateway.held.Release(held) }
 		return attempt{outcome: answered, reply: reply, released: true}
 	}
 	reply.rest = response.Body
 	reply.finish = func(sent bool) {
+		d.gateway.held.Release(held)
 		d.release(u, e, stop() && sent && reusable)
 	}
 	return attempt{outcome: answered, reply: reply, released: true}
 }
 
+// holdAnswer reads on in an answer behind which a request was passed on. It stops at the end
+// of the body, which is io.EOF, or once this host holds as much of answers as it may. held is
+// the number of bytes to be released once the answer was sent or abandoned.
+func (d *delivery) holdAnswer(body io.Reader, head []byte) (_ []byte, held int, err error) {
+	head, err = readUpTo(body, head, heldAnswer)
+	for err == nil && d.gateway.held.Acquire(heldAnswer) {
+		held += heldAnswer
+		head, err = readUpTo(body, head, len(head)+heldAnswer)
+	}
+	if err == nil {
+		d.gateway.meters.count("answer.not_held")
+	}
+	return head, held, err
+}
+
 // readUpTo appends bytes of body to buffer until that holds limit bytes or the body ends,
 // which is io.EOF, or fails.
 func readUpTo(body io.Reader, buffer []byte, limit int) ([]byte, error) {
