--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -103,7 +103,7 @@
 // outcome notTaken nothing has reached the target.
 func (d *delivery) sendByRelay(t *roster.Target, e *evidence.Target) attempt {
 	g := d.gateway
-	if d.noRelay || !d.exchange.body.replayable() || d.exchange.call.ID == "" {
+	if d.noRelay || d.exchange.call.ID == "" {
 		return attempt{outcome: notTaken}
 	}
 	idempotent := d.exchange.route.Kind.Idempotent()
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -36,7 +36,7 @@
 	once   sync.Once
 	done   chan struct{} // closed when nothing more is read from the caller for this body
 
-	started atomic.Bool // streaming to a target has begun
+	started atomic.Bool // the rest was claimed for a stream
 	arrived atomic.Bool // the whole body was read from the caller
 }
 
@@ -76,12 +76,12 @@
 	return b, nil
 }
 
-// replayable reports whether the body can be sent again.
-func (b *requestBody) replayable() bool { return b.rest == nil }
+// replayable reports whether the whole body can be sent, once more or for the first time.
+func (b *requestBody) replayable() bool { return b.rest == nil || !b.started.Load() }
 
-// markStarted records that the body is being streamed to a target; the stream
-// calls markDone itself.
-func (b *requestBody) markStarted() { b.started.Store(true) }
+// start claims the rest of the body, for the one stream that reads it and then calls
+// markDone. It returns false if it was claimed before.
+func (b *requestBody) start() bool { return b.started.CompareAndSwap(false, true) }
 
 // unread reports whether bytes of the body are still to be read from the caller's
 // connection, so that no further request can be read from it.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -22,6 +21,9 @@
 	d.gateway.config.Codec.Forward(header, left, t.Name)
 	if d.via == viaRelay {
 		d.gateway.relays.setHeaders(header, t, x.route.Kind)
+		if x.body.rest != nil {
+			header.Set(relay.HeaderStream, "1")
+		}
 	}
 	return &http.Request{Method: x.request.Method, URL: x.request.URL, RequestURI: x.request.RequestURI, Host: x.request.Host, Header: header}
 }
@@ -41,29 +43,20 @@
 	if _, err := conn.Write(b.Bytes()); err != nil {
 		return err
 	}
-	if body.length >= 0 {
-		_, err := io.Copy(conn, io.MultiReader(bytes.NewReader(body.prefix), body.rest))
+	return copyBody(conn, body)
+}
+
+// writeHead writes the head of a request whose body follows later.
+func writeHead(conn io.Writer, r *http.Request, body *requestBody) error {
+	var b bytes.Buffer
+	if err := hop.WriteHead(&b, r, body.length); err != nil {
 		return err
 	}
-	return writeChunked(conn, io.MultiReader(bytes.NewReader(body.prefix), body.rest))
+	_, err := conn.Write(b.Bytes())
+	return err
 }
 
-// writeChunked copies r to w with the chunked transfer coding.
-func writeChunked(w io.Writer, r io.Reader) error {
-	buffer := make([]byte, callerBuffer)
-	for {
-		n, err := r.Read(buffer)
-		if n > 0 {
-			if _, err := fmt.Fprintf(w, "%x\r\n%s\r\n", n, buffer[:n]); err != nil {
-				return err
-			}
-		}
-		if err == io.EOF {
-			_, err = io.WriteString(w, "0\r\n\r\n")
-			return err
-		}
-		if err != nil {
-			return err
-		}
-	}
+// copyBody writes the buffered start of a body and streams the rest.
+func copyBody(conn io.Writer, body *requestBody) error {
+	return hop.CopyBody(conn, io.MultiReader(bytes.NewReader(body.prefix), body.rest), body.length)
 }
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -34,7 +34,7 @@
 	if x.body.unread() {
 		r.close = true
 	}
-	if !x.body.started.Load() {
+	if x.body.start() {
 		x.body.markDone()
 	}
 	x.answer <- r
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -29,11 +29,18 @@
 	}
 	u.SetWriteDeadline(time.Now().Add(left)) // an error, as on a closed connection, shows up in the write
 	sent := make(chan error, 1)
-	if x.body.rest == nil {
+	over := make(chan struct{})
+	defer close(over)
+	switch {
+	case x.body.rest == nil:
 		sent <- writeRequest(u, request, x.body)
-	} else {
-		x.body.markStarted()
+	case d.via == viaRelay:
+		go func() { sent <- streamByRelay(u, request, x.body, over) }()
+	case x.body.start():
 		go func() { sent <- writeRequest(u, request, x.body); x.body.markDone() }()
+	default:
+		u.Abort()
+		return attempt{outcome: unreached, err: errBodyTaken}
 	}
 	timer := time.NewTimer(d.answerLimit - g.now())
 	defer timer.Stop()
@@ -55,6 +62,31 @@
 	}
 }
 
+// errBodyTaken is returned if the body was already claimed for another attempt.
+var errBodyTaken = errors.New("the body of the request was sent in another attempt")
+
+// errNotInvited is returned for a body that the relay did not ask for.
+var errNotInvited = errors.New("the relay has not asked for the body")
+
+// streamByRelay writes the head of a request to a relay, and its body once the relay asks for
+// it, unless over is closed before.
+func streamByRelay(u *hop.Conn, r *http.Request, body *requestBody, over <-chan struct{}) error {
+	if err := writeHead(u, r, body); err != nil {
+		return err
+	}
+	select {
+	case <-u.Proceed():
+	case <-over:
+		return errNotInvited
+	}
+	if !body.start() {
+		u.Close() // the request was given up or sent elsewhere
+		return errBodyTaken
+	}
+	defer body.markDone()
+	return copyBody(u, body)
+}
+
 // errUnsigned is returned for a success status without the target's signature,
 // which may come from another process.
 var errUnsigned = errors.New("the success response is not signed by the target")
@@ -150,7 +182,11 @@
 	if outcome == "" {
 		return attempt{}, false
 	}
-	g.pool.Put(u) // an answer of the relay itself has no body
+	if r.Response.Close {
+		u.Abort() // a part of the request's body may still be on its way to the relay
+	} else {
+		g.pool.Put(u) // an answer of the relay itself has no body
+	}
 	switch outcome {
 	case relay.Busy:
 		return attempt{outcome: notTaken}, true
--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -58,6 +58,7 @@
 	refused []string // ids of the requests that the target refused on the connection
 	codec   Codec
 	resume  chan bool // tells readLoop that the response was read; false ends the connection
+	proceed chan struct{}
 	onDead  func(*Conn)
 
 	writeMu  sync.Mutex // held during a write
@@ -83,7 +84,7 @@
 func newConn(to Endpoint, conn net.Conn) *Conn {
 	limiter := NewHeadLimiter(conn)
 	return &Conn{to: to, conn: conn, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBuffer),
-		resume: make(chan bool, 1), fresh: true}
+		resume: make(chan bool, 1), proceed: make(chan struct{}, 1), fresh: true}
 }
 
 // setUnackedTimeout sets TCP_USER_TIMEOUT on a socket before it connects.
@@ -148,6 +149,7 @@
 			return Result{Err: err}
 		}
 		if response.StatusCode < 200 {
+			u.informed(response.StatusCode)
 			continue
 		}
 		answer := u.codec.Answer(response.StatusCode, response.Header)
@@ -213,9 +215,28 @@
 		return nil, false
 	}
 	u.waiting, u.request, u.id = ch, request, id
+	select {
+	case <-u.proceed: // of an earlier request
+	default:
+	}
 	return ch, true
 }
 
+// Proceed returns a channel that receives a value once the other side has answered 100 to
+// the request in flight, so that it waits for the body.
+func (u *Conn) Proceed() <-chan struct{} { return u.proceed }
+
+// informed acts on the status of an informational response.
+func (u *Conn) informed(status int) {
+	if status != http.StatusContinue {
+		return
+	}
+	select {
+	case u.proceed <- struct{}{}:
+	default:
+	}
+}
+
 // usable reports whether the connection can carry another request.
 func (u *Conn) usable() bool {
 	u.mu.Lock()
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -23,6 +23,7 @@
 	header := hop.EndToEndHeaders(response.Header)
 	Strip(header)
 	x.session.server.config.Codec.Echo(header, x.call.ID)
+	x.markLast(header)
 	bodyless := x.request.Method == http.MethodHead || response.StatusCode == http.StatusNoContent || response.StatusCode == http.StatusNotModified
 	chunked := response.ContentLength < 0 && !bodyless
 	if chunked {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -19,6 +20,7 @@
 	session     *session
 	request     *http.Request
 	body        []byte
+	upload      *upload // nil if body is the whole body
 	call        hop.Call
 	target      string
 	to          hop.Endpoint // address of the target; Start is set once Config.Find has confirmed it
@@ -26,7 +28,7 @@
 	rate        float64       // rate of the entry host's link in bytes per second, 0 if unknown
 	bulk        bool          // the response yields to other responses to the entry host
 	received    time.Duration // when the request arrived, on the server's clock
-	requestSent bool          // the whole request was written to the target
+	requestSent atomic.Bool   // the whole request was written to the target
 }
 
 func newExchange(s *session, request *http.Request, body []byte) *exchange {
@@ -92,7 +94,7 @@
 		return false
 	}
 	u.SetKeepAlive(r.Answer.KeepAlive)
-	if stop() && x.requestSent && !r.Response.Close {
+	if stop() && x.requestSent.Load() && !r.Response.Close {
 		s.pool.Put(u)
 	} else {
 		u.Abort()
@@ -164,14 +166,9 @@
 	if !ok {
 		return hop.Result{Err: hop.ErrConnectionEnded}, Unreached
 	}
-	var b bytes.Buffer
-	if err := hop.WriteHead(&b, forwarded, int64(len(x.body))); err != nil {
+	if err := x.write(u, forwarded); err != nil {
 		return hop.Result{Err: err}, Unreached
 	}
-	b.Write(x.body)
-	u.SetWriteDeadline(time.Now().Add(x.timeLeft()))
-	_, err := u.Write(b.Bytes()) // a write error ends the connection, and its read loop reports that
-	x.requestSent = err == nil
 	select {
 	case r := <-responses:
 		if errors.Is(r.Err, syscall.ETIMEDOUT) {
@@ -187,6 +184,34 @@
 	}
 }
 
+// write writes the request to the target, with a body that is streamed in the background.
+// An error means that nothing was written; a failed write ends the connection, and its read
+// loop reports that.
+func (x *exchange) write(u *hop.Conn, r *http.Request) error {
+	length := int64(len(x.body))
+	if x.upload != nil {
+		length = x.upload.length
+	}
+	var b bytes.Buffer
+	if err := hop.WriteHead(&b, r, length); err != nil {
+		return err
+	}
+	u.SetWriteDeadline(time.Now().Add(x.timeLeft()))
+	if x.upload == nil {
+		b.Write(x.body)
+		_, err := u.Write(b.Bytes())
+		x.requestSent.Store(err == nil)
+		return nil
+	}
+	if err := x.upload.invite(); err != nil {
+		return err
+	}
+	if _, err := u.Write(b.Bytes()); err == nil {
+		go x.upload.copyTo(u, func() { x.requestSent.Store(true) })
+	}
+	return nil
+}
+
 // outcomeOf returns why a request that was sent has no response. The end of its
 // deadline closes the connection, so the read loop may report a lost connection
 // although the request timed out.
@@ -216,12 +241,21 @@
 	}
 	header.Set("Content-Length", "0")
 	s.server.config.Codec.Echo(header, x.call.ID)
+	x.markLast(header)
 	if err := writeHead(s.writer, http.StatusBadGateway, header); err != nil {
 		return false
 	}
 	return s.writer.Flush() == nil
 }
 
+// markLast tells the entry host that the connection ends after the answer, since the rest of
+// a body may still be on its way on it.
+func (x *exchange) markLast(header http.Header) {
+	if x.upload != nil && x.upload.invited {
+		header.Set("Connection", "close")
+	}
+}
+
 // log logs a failure of the request through the rate-limiting sampler.
 func (x *exchange) log(message string, err error, detail ...any) {
 	s := x.session.server
--- a/internal/relay/headers.go
+++ b/internal/relay/headers.go
@@ -21,6 +21,9 @@
 	// HeaderRate carries the total rate of all responses to an entry host, in bytes
 	// per second.
 	HeaderRate = "Hornbeam-Rate"
+	// HeaderStream is set if the body follows once the relay has answered 100, which it
+	// does when it has a connection to the target. Until then nothing was sent.
+	HeaderStream = "Hornbeam-Stream"
 	// HeaderBulk is set if the response yields to other responses to the entry host.
 	HeaderBulk = "Hornbeam-Bulk"
 )
@@ -59,7 +62,7 @@
 
 // Strip removes the headers that are used only between entry hosts and relays.
 func Strip(h http.Header) {
-	for _, name := range []string{HeaderTarget, HeaderAddress, HeaderLife, HeaderRepeatable, HeaderRate, HeaderBulk, HeaderOutcome, HeaderPause} {
+	for _, name := range []string{HeaderTarget, HeaderAddress, HeaderLife, HeaderRepeatable, HeaderRate, HeaderStream, HeaderBulk, HeaderOutcome, HeaderPause} {
 		h.Del(name)
 	}
 }
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -12,8 +12,8 @@
 const (
 	readBuffer  = 4 << 10 // bytes
 	writeBuffer = 8 << 10 // bytes
-	// maxBody limits the body of a request in bytes. Entry hosts send requests with
-	// larger bodies to the targets directly.
+	// maxBody limits the body that comes with the head of a request, in bytes. Entry
+	// hosts stream larger ones.
 	maxBody = 256 << 10
 )
 
@@ -50,6 +50,12 @@
 		if err != nil {
 			return // the entry host opens another connection
 		}
+		if request.Header.Get(HeaderStream) != "" {
+			if !s.stream(ctx, request) {
+				return
+			}
+			continue
+		}
 		body, err := io.ReadAll(io.LimitReader(request.Body, maxBody+1))
 		if err != nil || len(body) > maxBody {
 			return
@@ -77,3 +83,13 @@
 	x := newExchange(s, request, body)
 	return x.run(ctx) && <-next == nil
 }
+
+// stream handles a request whose body is streamed. It reports whether the connection can be
+// used for the next one, as after a failure before the body was invited.
+func (s *session) stream(ctx context.Context, request *http.Request) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	x := newExchange(s, request, nil)
+	x.upload = uploadOf(s, request, cancel)
+	return x.run(ctx) && !x.upload.invited
+}
