--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -103,7 +103,7 @@
 // outcome notTaken nothing has reached the target.
 func (d *delivery) sendByRelay(t *roster.Target, e *evidence.Target) attempt {
 	g := d.gateway
-	if d.noRelay || d.exchange.call.ID == "" {
+	if d.noRelay || d.exchange.call.ID == "" || !d.bodyMayPass(g.config.Region) {
 		return attempt{outcome: notTaken}
 	}
 	idempotent := d.exchange.route.Kind.Idempotent()
@@ -116,6 +116,12 @@
 	return d.sendTimed(u, t, e)
 }
 
+// bodyMayPass reports whether the body of the request may be sent to a relay in a region. A
+// route that is bound to regions allows that only in these.
+func (d *delivery) bodyMayPass(region string) bool {
+	return d.exchange.body.length == 0 || d.exchange.route.Allows(region)
+}
+
 // sendTimed sends the request on a connection, adds the time this took to
 // atTarget and records the result for the target.
 func (d *delivery) sendTimed(u *hop.Conn, t *roster.Target, e *evidence.Target) attempt {
--- a/internal/gateway/upload_test.go
+++ b/internal/gateway/upload_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/hornbeamstack/hornbeamstack/internal/nettest"
 	"github.com/hornbeamstack/hornbeamstack/internal/relay"
+	"github.com/hornbeamstack/hornbeamstack/pkg/policy"
 	"github.com/hornbeamstack/hornbeamstack/pkg/roster"
 )
 
@@ -163,3 +164,29 @@
 		t.Errorf("got %d %q, want the target's 403", r.StatusCode, body)
 	}
 }
+
+// Guards against a body that is passed to a relay in a region to which its route is not bound.
+func TestBodiesStayInTheRegionsOfTheirRoute(t *testing.T) {
+	f := newFixture(t, ok)
+	address, counts := countingRelay(t)
+	f.relayAt(address)
+	f.gateway.view.targets.Apply(f.gateway.now(), roster.Report{Announcement: roster.Announcement{
+		Name: "t0", Life: 2, Sequence: 1, Service: "s", Address: f.targets[0].Address(), Zone: "z2", Slots: 4}})
+	for i := range f.gateway.view.current().Routes {
+		f.gateway.view.current().Routes[i].Regions = []string{"r2"}
+	}
+	for _, body := range []string{"small", upload} {
+		before := relayed(counts)
+		conn, br := f.dial()
+		go func() { fmt.Fprint(conn, request("POST", "/"+policy.Unsafe.String()+"/x", "1", body)) }()
+		if r, got := f.read(br); r.StatusCode != http.StatusOK || got != "t0:"+body {
+			t.Errorf("a body of %d bytes got %d and %d bytes", len(body), r.StatusCode, len(got))
+		}
+		if relayed(counts) != before {
+			t.Errorf("a body of %d bytes was passed to a relay in another region", len(body))
+		}
+	}
+	if r, _ := f.do("GET", "/safe/x", "2", ""); r.StatusCode != http.StatusOK || relayed(counts) != 1 {
+		t.Errorf("a request without a body got %d, and the relay %d requests, want 1", r.StatusCode, relayed(counts))
+	}
+}
