--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -31,6 +31,9 @@
 // errNoTimeLeft is returned when the request's deadline passed before it was sent.
 var errNoTimeLeft = errors.New("the request's deadline passed before it was sent")
 
+// errCutOff is returned without a dial while this host is cut off from all targets.
+var errCutOff = errors.New("this host is cut off from all targets")
+
 // errConnectionLimit is returned when this host uses its whole share of a
 // target's connections.
 var errConnectionLimit = errors.New("this host's connections to the target are all in use")
@@ -80,11 +83,16 @@
 // an earlier one. If connect returns nil, the attempt holds the reason.
 func (d *delivery) connect(t *roster.Target, e *evidence.Target) (*hop.Conn, attempt) {
 	g := d.gateway
-	if d.exchange.call.ID != "" {
-		if u := g.pool.Get(endpoint(t), d.exchange.route.Kind.Idempotent()); u != nil {
+	idempotent := d.exchange.route.Kind.Idempotent()
+	cut := g.reach.isCut()
+	if d.exchange.call.ID != "" && (idempotent || !cut) { // in a partition, a used connection may take a request and never answer
+		if u := g.pool.Get(endpoint(t), idempotent); u != nil {
 			return u, attempt{}
 		}
 	}
+	if cut {
+		return nil, attempt{outcome: unreached, err: errCutOff}
+	}
 	limit := min(hop.DialTimeout, d.deadline-g.now())
 	if limit <= 0 {
 		return nil, attempt{outcome: unreached, err: errNoTimeLeft}
@@ -93,6 +101,7 @@
 	if err != nil {
 		if countsAgainstTarget(limit, err) {
 			e.RecordUnreachable(g.now())
+			g.targetFailed(t)
 		}
 		return nil, attempt{outcome: unreached, err: err}
 	}
@@ -168,6 +177,8 @@
 	case a.outcome == answered:
 		failed := a.reply.status >= http.StatusInternalServerError
 		g.reports.work(t.Name, !failed && (slow == 0 || took < slow))
+	case d.via == viaDirect && errors.Is(a.err, hop.ErrConnectionEnded):
+		g.reportLost(t.Name)
 	case a.outcome == targetError || a.outcome == broken:
 		g.reports.work(t.Name, false)
 	}
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -25,6 +26,7 @@
 	RetryWindow        time.Duration
 	ColdOverage        float64       // factor on the stated request rate of a cold target
 	ColdSlack          float64       // requests a second that a cold target tolerates in addition
+	Address            net.IP        // source of connections to targets and relays, nil to let the system choose
 	MaxIdleConnections int           // idle connections to targets and relays that are kept
 	ApplyLimit         time.Duration // time in which a policy has to be in force, 0 if not stated
 	LinkRate           float64       // capacity of this host's link in bytes a second, 0 if unknown
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,6 +52,7 @@
 	relays        *relays
 	pauses        *evidence.Pauses
 	departures    *departures
+	reach         *reach
 	meters        *meters
 	answerGrace   time.Duration // how long answers are awaited after a route's timeout
 
@@ -67,12 +68,13 @@
 	g := &Gateway{config: c, log: c.Log, start: time.Now(), started: time.Now().UnixNano(),
 		evidenceStore: evidence.NewStore(), callers: map[*callerConn]bool{}, splits: newSplitters(),
 		reports: newReports(), balance: affinity.NewBalancer(), gate: admission.NewGate(), timeouts: newTimeouts(),
-		pauses: evidence.NewPauses(), departures: newDepartures(), meters: newMeters(), answerGrace: defaultAnswerGrace}
+		pauses: evidence.NewPauses(), departures: newDepartures(), reach: newReach(), meters: newMeters(), answerGrace: defaultAnswerGrace}
 	g.downloadLimit = newDownloads(c.LinkRate)
 	g.held = bytelimit.New(c.heldAnswerBytes())
 	g.view = newView(&g.config)
 	g.watch = newWatch(&g.config, g.view, g.now, g.self, g.reports, g.departures, g.meters)
 	g.pool = hop.NewPool(c.Codec, g.now, c.MaxIdleConnections)
+	g.pool.Bind(c.Address)
 	g.relays = newRelays(g.watch, g.pool, c.LinkRate)
 	g.budgets = newBudgets(&g.config)
 	g.cold = newColdLimiter(&g.config, g.view)
@@ -90,7 +92,7 @@
 
 // Ready reports whether callers should use this host.
 func (g *Gateway) Ready() bool {
-	return !g.stopCalled.Load() && g.watch.informed() && g.view.current() != nil
+	return !g.stopCalled.Load() && g.watch.informed() && g.view.current() != nil && !g.unreachable()
 }
 
 // stopping reports whether Stop was called.
@@ -149,6 +151,7 @@
 		g.updateGauges()
 		g.watch.checkContact()
 		g.relays.abortSilent()
+		g.probeTargets()
 		g.view.targets.Forget(g.now())
 		loads := g.reports.averages(func(name string) bool { _, ok := g.view.targets.Find(name); return ok })
 		g.balance.Step(housekeepingInterval, loads)
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -58,6 +58,11 @@
 	if !x.awaitTurn() {
 		return g.refuse(x, reasonCallerLeft)
 	}
+	if g.unreachable() {
+		r := g.refuse(x, reasonCutOff) // other hosts take it
+		r.close = true
+		return r
+	}
 	d := g.newDelivery(x)
 	if g.endsBefore(d.answerLimit) {
 		return g.refuseFor(x, reasonStopping, 0, "left", d.deadline-g.now()) // other hosts take it at once
--- a/internal/gateway/own_answers.go
+++ b/internal/gateway/own_answers.go
@@ -18,6 +18,7 @@
 	reasonBusy       reason = "target_busy"
 	reasonCallerLeft reason = "caller_left"
 	reasonStopping   reason = "stopping"
+	reasonCutOff     reason = "cut_off"
 )
 
 // refusalText holds the body of the answer for each reason.
@@ -29,6 +30,7 @@
 	reasonBusy:       "the target has too much work",
 	reasonCallerLeft: "the caller has left",
 	reasonStopping:   "this host stops before the request may end",
+	reasonCutOff:     "this host reaches no target",
 }
 
 // statusCallerLeft appears only in logs and metrics, since its caller has left.
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -75,6 +75,12 @@
 	return u
 }
 
+// usable reports whether requests may go through a relay.
+func (r *relays) usable() bool {
+	relay := r.watch.relay(relayBypassSilence)
+	return relay.Address != "" && !r.inBackoff(r.watch.now(), relay.Address)
+}
+
 // answered records the time of a relay's answer.
 func (r *relays) answered(now time.Duration, address string) {
 	r.mu.Lock()
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -103,11 +103,17 @@
 	if r.Err != nil {
 		u.Abort()
 		e.RecordFailure(now)
-		if errors.Is(r.Err, hop.ErrConnectionEnded) && u.Fresh() {
-			e.RecordUnreachable(now)
+		if errors.Is(r.Err, hop.ErrConnectionEnded) {
+			if u.Fresh() {
+				e.RecordUnreachable(now)
+			}
+			d.gateway.targetFailed(t)
 		}
 		return attempt{outcome: broken, err: r.Err}
 	}
+	if d.via == viaDirect && u.Fresh() {
+		d.gateway.targetReached() // an older connection may live on although new ones are refused
+	}
 	if r.Response.StatusCode < http.StatusMultipleChoices && !r.Answer.Signed {
 		u.Abort()
 		e.RecordFailure(now)
--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -19,7 +19,12 @@
 	DialTimeout = 400 * time.Millisecond
 	// unackedTimeout is the TCP_USER_TIMEOUT: a connection ends once sent data stays
 	// unacknowledged by the target's host for this long.
-	unackedTimeout      = 700 * time.Millisecond
+	unackedTimeout = 700 * time.Millisecond
+	// keepAliveIdle is the time without data after which a connection is probed. It ends
+	// keepAliveInterval after a probe that stays unanswered: unackedTimeout has passed
+	// by then, which decides, whatever the number of probes.
+	keepAliveIdle       = 5 * time.Second
+	keepAliveInterval   = time.Second
 	readBuffer          = 4 << 10 // bytes
 	maxSkippedResponses = 8       // 1xx responses and responses to earlier requests skipped per request
 	// maxRefusals limits the refusals on one connection, whose ids are kept. After
@@ -72,8 +77,13 @@
 	Err      error
 }
 
-func dial(to Endpoint, timeout time.Duration) (*Conn, error) {
-	dialer := net.Dialer{Timeout: timeout, Control: setUnackedTimeout, KeepAlive: 5 * time.Second}
+// dial opens a connection from a source address, nil to let the system choose it.
+func dial(to Endpoint, from *net.TCPAddr, timeout time.Duration) (*Conn, error) {
+	dialer := net.Dialer{Timeout: timeout, Control: setUnackedTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval}}
+	if from != nil {
+		dialer.LocalAddr = from
+	}
 	conn, err := dialer.Dial("tcp", to.Address)
 	if err != nil {
 		return nil, err
--- a/internal/hop/pool.go
+++ b/internal/hop/pool.go
@@ -1,6 +1,7 @@
 package hop
 
 import (
+	"net"
 	"sync"
 	"time"
 )
@@ -30,7 +31,8 @@
 	codec Codec
 	now   func() time.Duration
 
-	maxIdle int // limit of idle connections in total
+	maxIdle int          // limit of idle connections in total
+	local   *net.TCPAddr // source of connections, nil to let the system choose
 
 	mu    sync.Mutex
 	idle  map[Endpoint][]*Conn
@@ -43,6 +45,14 @@
 	return &Pool{codec: codec, now: now, maxIdle: maxIdle, idle: map[Endpoint][]*Conn{}}
 }
 
+// Bind sets the source IP of connections, so that a host with several addresses uses its
+// configured one. Call it before the first connection.
+func (p *Pool) Bind(ip net.IP) {
+	if ip != nil {
+		p.local = &net.TCPAddr{IP: ip}
+	}
+}
+
 // Get returns the most recently used idle connection to an endpoint, or nil if there
 // is none that is safe to use. repeatable says whether the request may be sent again
 // if the target closes the connection meanwhile.
@@ -79,7 +89,7 @@
 
 // Dial opens a new connection.
 func (p *Pool) Dial(to Endpoint, timeout time.Duration) (*Conn, error) {
-	u, err := dial(to, timeout)
+	u, err := dial(to, p.local, timeout)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/nettest/target.go
+++ b/internal/nettest/target.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 )
 
@@ -20,6 +21,7 @@
 	Script       Script // must not change after the first request
 	listener     net.Listener
 	disconnected chan struct{}
+	cuts         atomic.Pointer[cuts] // nil unless the target can be cut off
 
 	mu       sync.Mutex
 	requests []*http.Request
@@ -68,7 +70,12 @@
 		t.mu.Lock()
 		t.accepted++
 		t.mu.Unlock()
-		go t.serve(conn)
+		if c := t.cuts.Load(); c != nil {
+			conn = c.admit(conn)
+		}
+		if conn != nil {
+			go t.serve(conn)
+		}
 	}
 }
 
--- a/internal/platformnode/core.go
+++ b/internal/platformnode/core.go
@@ -37,7 +37,7 @@
 		Server:          server, Client: p.client, Log: p.log,
 	})
 	go func() { _ = server.Serve(p.ctx, listener) }() // returns when p.ctx ends
-	r := relay.New(relay.Config{Codec: platform.Codec{}, MaxIdleConnections: s.MaxIdleConnections(), Find: n.TargetAt, ReportLeaving: n.ReportLeaving, Metrics: n.Metrics(), Log: p.log})
+	r := relay.New(relay.Config{Codec: platform.Codec{}, Address: net.ParseIP(s.Ip), MaxIdleConnections: s.MaxIdleConnections(), Find: n.TargetAt, ReportLeaving: n.ReportLeaving, Metrics: n.Metrics(), Log: p.log})
 	if err := p.serveCore(n, r); err != nil {
 		return err
 	}
--- a/internal/platformnode/gateway.go
+++ b/internal/platformnode/gateway.go
@@ -20,6 +20,7 @@
 		RetryRatio: s.Bound("RetryBudgetRatio", 0.2), RetrySlack: s.Bound("RetryBudgetSlack", 10),
 		RetryWindow: s.BoundDuration("BudgetWindowS", 10*time.Second),
 		ColdOverage: s.Bound("ColdOverage", 1), ColdSlack: s.Bound("ColdSlack", 0),
+		Address:            net.ParseIP(s.Ip),
 		MaxIdleConnections: s.MaxIdleConnections(),
 		ApplyLimit:         s.BoundDuration("ConfigApplyS", 0),
 		LinkRate:           s.Limits.LinkMbps * 1e6 / 8,
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"net"
+
 	"github.com/charmbracelet/log"
 	"github.com/rcrowley/go-metrics"
 
@@ -11,6 +13,8 @@
 // Config holds the settings and dependencies of a relay.
 type Config struct {
 	Codec hop.Codec
+	// Address is the source of connections to targets, nil to let the system choose.
+	Address net.IP
 	// MaxIdleConnections limits the idle connections to targets that are kept.
 	MaxIdleConnections int
 	// Find returns the current state of a target and whether the target is at the
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -40,6 +40,7 @@
 func New(c Config) *Server {
 	s := &Server{config: c, start: time.Now(), pacers: newPacers(), dialBreaker: newDialBreaker(), pauses: evidence.NewPauses(), sampler: telemetry.NewSampler()}
 	s.pool = hop.NewPool(c.Codec, s.now, c.MaxIdleConnections)
+	s.pool.Bind(c.Address)
 	return s
 }
 
