--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -52,6 +52,7 @@
 	seed    uint64
 	folder  string
 	random  *rand.Rand
+	cuts    *rand.Rand // separate, so that seeds play the other faults as before there were cuts
 	members []*member
 	fronts  []string // addresses of the relays in front of the entry hosts
 	control []string // addresses of the relays in front of the control hosts
@@ -106,7 +107,7 @@
 
 // newDeployment starts the processes and relays of a deployment.
 func newDeployment(t *testing.T, seed uint64) *deployment {
-	d := &deployment{t: t, seed: seed, folder: t.TempDir(), random: rand.New(rand.NewPCG(seed, 7)),
+	d := &deployment{t: t, seed: seed, folder: t.TempDir(), random: rand.New(rand.NewPCG(seed, 7)), cuts: rand.New(rand.NewPCG(seed, 9)),
 		ledger: &ledger{runs: map[string]*record{}}, client: &http.Client{Timeout: 2 * time.Second}}
 	ip := func(i int) string { return fmt.Sprintf("127.80.%d.%d", seed%250+1, i+1) }
 	var seedList []string
@@ -221,14 +222,14 @@
 	return answer.StatusCode, string(text)
 }
 
-// policyDocument returns a policy with the given version, one rule for safe and one
-// for unsafe requests.
+// policyDocument returns a policy with the given version and a rule for each kind of
+// request.
 func policyDocument(version int) []byte {
 	rule := func(kind string) string {
 		return fmt.Sprintf(`{"Name":%q,"Kind":%q,"TargetLatencyS":0.5,"Sticky":true,"Match":{"PathPrefix":"/%s/"},"Action":{"Service":"work","TimeoutS":2,"MaxAttempts":2}}`, kind, kind, kind)
 	}
-	return []byte(fmt.Sprintf(`{"Version":"%08x","Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":1048576,"HeaderTimeoutS":3,"IdleTimeoutS":15},"Listeners":[{"Host":"h.example","Rules":[%s,%s]}],"Clusters":[{"Name":"work","HealthCheckPath":"/h","MaxConnections":100,"ColdStartS":1,"ColdPerS":50}]}`,
-		version, rule("safe"), rule("unsafe")))
+	return []byte(fmt.Sprintf(`{"Version":"%08x","Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutS":3,"IdleTimeoutS":15},"Listeners":[{"Host":"h.example","Rules":[%s,%s,%s]}],"Clusters":[{"Name":"work","HealthCheckPath":"/h","MaxConnections":100,"ColdStartS":1,"ColdPerS":50}]}`,
+		version, rule("safe"), rule("unsafe"), rule("download")))
 }
 
 // submitVersion submits a policy version until it is acknowledged or refused, at most
--- a/test/soak/relay_test.go
+++ b/test/soak/relay_test.go
@@ -17,6 +17,7 @@
 	blackholed       // bytes are held back in both directions
 	oneWay           // bytes from the far side are held back
 	resets           // each open connection is reset with probability 1/2 when the fault is set
+	refused          // new connections are reset, open ones live on
 )
 
 // relay is a TCP proxy to one address that injects faults.
@@ -28,6 +29,7 @@
 	random *rand.Rand
 	fault  fault
 	conns  map[net.Conn]bool
+	cuts   map[string]fault // by IP of the near side: hosts that are cut off from the far side
 }
 
 func newRelay(far string, seed uint64) (*relay, error) {
@@ -35,7 +37,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &relay{listener: l, far: far, random: rand.New(rand.NewPCG(seed, 1)), conns: map[net.Conn]bool{}}
+	r := &relay{listener: l, far: far, random: rand.New(rand.NewPCG(seed, 1)), conns: map[net.Conn]bool{}, cuts: map[string]fault{}}
 	go r.accept()
 	return r, nil
 }
@@ -58,6 +60,33 @@
 	}
 }
 
+// cut cuts a host off from the far side: its connections are reset, blackholed or refused.
+// noFault ends that.
+func (r *relay) cut(ip string, f fault) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cuts[ip] = f
+	for c := range r.conns {
+		if tcp, ok := c.(*net.TCPConn); ok && f == resets && hostOf(c) == ip {
+			_ = tcp.SetLinger(0)
+			_ = tcp.Close()
+		}
+	}
+}
+
+// cutOf returns how the host at the near side of a connection is cut off.
+func (r *relay) cutOf(near net.Conn) fault {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cuts[hostOf(near)]
+}
+
+// hostOf returns the IP of the remote side of a connection.
+func hostOf(c net.Conn) string {
+	host, _, _ := net.SplitHostPort(c.RemoteAddr().String()) // TCP addresses have this form
+	return host
+}
+
 func (r *relay) currentFault() fault {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -76,6 +105,13 @@
 
 // proxy connects to the far side and forwards bytes in both directions until both end.
 func (r *relay) proxy(near net.Conn) {
+	if f := r.cutOf(near); f == resets || f == refused {
+		if tcp, ok := near.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // Close sends a reset
+		}
+		_ = near.Close()
+		return
+	}
 	far, err := net.Dial("tcp", r.far)
 	if err != nil {
 		_ = near.Close()
@@ -85,8 +121,9 @@
 	r.conns[near], r.conns[far] = true, true
 	r.mu.Unlock()
 	var wg sync.WaitGroup
-	wg.Go(func() { r.copy(far, near, false) })
-	wg.Go(func() { r.copy(near, far, true) })
+	held := func() bool { return r.cutOf(near) == blackholed }
+	wg.Go(func() { r.copy(far, near, false, held) })
+	wg.Go(func() { r.copy(near, far, true, held) })
 	wg.Wait()
 	r.mu.Lock()
 	delete(r.conns, near)
@@ -95,13 +132,14 @@
 }
 
 // copy forwards bytes until one of the connections ends; fromFar says that they come
-// from the far side. An end of from is forwarded as a close, an error as a reset.
-func (r *relay) copy(to, from net.Conn, fromFar bool) {
+// from the far side, held that the near side is cut off. An end of from is forwarded as a
+// close, an error as a reset.
+func (r *relay) copy(to, from net.Conn, fromFar bool, held func() bool) {
 	defer to.Close()
 	buffer := make([]byte, 4096)
 	for {
 		n, err := from.Read(buffer)
-		for f := r.currentFault(); f == blackholed || f == oneWay && fromFar; f = r.currentFault() {
+		for f := r.currentFault(); f == blackholed || f == oneWay && fromFar || held(); f = r.currentFault() {
 			time.Sleep(5 * time.Millisecond)
 		}
 		if r.currentFault() == delayed {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -168,6 +168,7 @@
 	d.markFault()
 	m := d.members[d.random.IntN(len(d.members))]
 	target := d.targets[d.random.IntN(len(d.targets))]
+	d.cutOffEntryHosts(wg)
 	switch kind := d.random.IntN(10); kind {
 	case 0:
 		m.process.Kill()
