--- a/test/soak/cut_off_test.go
+++ b/test/soak/cut_off_test.go
@@ -88,27 +88,8 @@
 // runCut cuts all entry hosts of a zone off and compares what they and the others serve.
 func runCut(t *testing.T, seed uint64, manner fault) {
 	d := newDeployment(t, seed)
-	defer func() {
-		for _, target := range d.targets {
-			target.stop()
-		}
-		for _, m := range d.members {
-			m.process.Kill()
-		}
-		for _, r := range d.relays {
-			r.close()
-		}
-		if t.Failed() {
-			d.keepLogs()
-		}
-	}()
-	for i := range 6 {
-		target, err := newTarget(d, fmt.Sprintf("t%d-%d", seed, i), fmt.Sprintf("z%d", i%3))
-		if err != nil {
-			t.Fatal(err)
-		}
-		d.targets = append(d.targets, target)
-	}
+	defer d.stop()
+	d.startTargets(6)
 	d.await("the first version is acknowledged", func() bool { return d.submitVersion(1, 1) })
 	for i := range d.entries() {
 		d.await("every entry host serves", func() bool { served, _ := d.once(nil, i, "safe", fmt.Sprint("first", i), 10); return served })
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -72,26 +72,9 @@
 	}
 	defer func() {
 		finish()
-		for _, target := range d.targets {
-			target.stop()
-		}
-		for _, m := range d.members {
-			m.process.Kill()
-		}
-		for _, r := range d.relays {
-			r.close()
-		}
-		if t.Failed() {
-			d.keepLogs()
-		}
+		d.stop()
 	}()
-	for i := range 6 {
-		target, err := newTarget(d, fmt.Sprintf("t%d-%d", seed, i), fmt.Sprintf("z%d", i%3))
-		if err != nil {
-			t.Fatal(err)
-		}
-		d.targets = append(d.targets, target)
-	}
+	d.startTargets(6)
 	d.await("the first version is acknowledged", func() bool { return d.submitVersion(1, 1) })
 	d.disableBootstrap()
 	d.await("a request is served", func() bool {
@@ -130,6 +113,34 @@
 	}
 }
 
+// startTargets starts targets in all availability zones.
+func (d *deployment) startTargets(count int) {
+	d.t.Helper()
+	for i := range count {
+		target, err := newTarget(d, fmt.Sprintf("t%d-%d", d.seed, i), fmt.Sprintf("z%d", i%3))
+		if err != nil {
+			d.t.Fatal(err)
+		}
+		d.targets = append(d.targets, target)
+	}
+}
+
+// stop ends all targets, processes and relays, and keeps the logs of a failed test.
+func (d *deployment) stop() {
+	for _, target := range d.targets {
+		target.stop()
+	}
+	for _, m := range d.members {
+		m.process.Kill()
+	}
+	for _, r := range d.relays {
+		r.close()
+	}
+	if d.t.Failed() {
+		d.keepLogs()
+	}
+}
+
 // keepLogs copies the logs of a failed seed to a folder that outlives the test.
 func (d *deployment) keepLogs() {
 	folder := fmt.Sprintf("%s/hornbeam-soak-logs-%d", os.TempDir(), d.seed)
