--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -58,7 +58,7 @@
 	id      string
 	refused []string // ids of the requests that the target refused on the connection
 	codec   Codec
-	resume  chan bool // tells readLoop that the response was read; false ends the connection
+	resume  chan bool     // tells readLoop that the response was read; false ends the connection
 	proceed chan struct{} // receives a value when the other side waits for the body
 	onDead  func(*Conn)
 
