Do not blame targets for ended idle connections; ask near control hosts again

A request whose kept connection had ended before it was sent was reported as a failure of its target, once the host reached a target again (TestIdleConnectionsThatEndedAreNotReported failed before).

After an outage of all control hosts, the near ones stayed set aside for up to 3 s although they were in contact again, and their relays were not used. The first answer of a host in contact after an outage ends that (TestNearHostsAreAskedSoonAfterAnOutage failed before).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -177,7 +177,7 @@
 	case a.outcome == answered:
 		failed := a.reply.status >= http.StatusInternalServerError
 		g.reports.work(t.Name, !failed && (slow == 0 || took < slow))
-	case d.via == viaDirect && errors.Is(a.err, hop.ErrConnectionEnded):
+	case a.outcome == broken && d.via == viaDirect && errors.Is(a.err, hop.ErrConnectionEnded):
 		g.reportLost(t.Name)
 	case a.outcome == targetError || a.outcome == broken:
 		g.reports.work(t.Name, false)
--- a/internal/gateway/cut_off_test.go
+++ b/internal/gateway/cut_off_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/hornbeamstack/hornbeamstack/internal/hop"
 	"github.com/hornbeamstack/hornbeamstack/internal/nettest"
 	"github.com/hornbeamstack/hornbeamstack/pkg/policy"
 	"github.com/hornbeamstack/hornbeamstack/pkg/roster"
@@ -174,3 +175,27 @@
 		t.Error("the host counts as cut off after the loss of one target")
 	}
 }
+
+// Guards against a target that is blamed for an idle connection which had ended before a
+// request was sent on it.
+func TestIdleConnectionsThatEndedAreNotReported(t *testing.T) {
+	f := newCutFixture(t, ok)
+	f.gateway.reports.take("c")
+	p := f.gateway.view.current()
+	d := &delivery{gateway: f.gateway, via: viaDirect, exchange: &exchange{policy: p, route: p.Match("h", "/safe/x")}}
+	target, _ := f.gateway.view.targets.Find("t0")
+	for _, x := range []struct {
+		outcome outcome
+		bad     int
+	}{{unreached, 0}, {broken, 1}} {
+		d.recordResult(&target, attempt{outcome: x.outcome, err: hop.ErrConnectionEnded}, f.gateway.now())
+		f.gateway.targetReached()
+		bad := 0
+		for _, report := range f.gateway.reports.take("c") {
+			bad += int(report.Bad)
+		}
+		if bad != x.bad {
+			t.Errorf("outcome %v: %d failures are reported, want %d", x.outcome, bad, x.bad)
+		}
+	}
+}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -164,6 +164,17 @@
 	w.config.Log.Warn("control host given up", "control", address, "during", during, "reason", reason, "err", err)
 }
 
+// forgetNoContact lets the control hosts be asked again that were set aside since they had
+// no contact with a majority: a host that has regained contact shows that others may have
+// as well. The lock is held.
+func (w *watch) forgetNoContact(now time.Duration) {
+	for _, c := range w.controls {
+		if c.withoutContact > 0 {
+			c.withoutContact, c.backoffUntil = 0, min(c.backoffUntil, now)
+		}
+	}
+}
+
 // apply updates the view, the reports and the control hosts from a reply.
 func (w *watch) apply(c *controlState, reply *fleet.PullReply) {
 	now := w.now()
@@ -195,6 +206,9 @@
 	c.states = reply.StateNumber
 	c.epoch, c.revision = reply.Epoch, reply.Revision
 	if reply.Fresh {
+		if now-w.lastFresh > contactLimit {
+			w.forgetNoContact(now)
+		}
 		w.lastFresh, c.lastAnswer = now, now
 		c.withoutContact = 0
 	}
--- a/internal/gateway/watch_cut_test.go
+++ b/internal/gateway/watch_cut_test.go
@@ -17,6 +17,7 @@
 	pulling [watchers]*controlState
 	until   [watchers]time.Duration // end of the pull in flight
 	stale   int                     // answers without contact
+	outage  bool                    // no control host is in contact
 }
 
 const cutStep = 5 * time.Millisecond
@@ -37,7 +38,9 @@
 	return s
 }
 
-func inContact(c *controlState) bool { return c.control.Peer >= "10.0.0.4:1" }
+func (s *cutWatch) inContact(c *controlState) bool {
+	return !s.outage && c.control.Peer >= "10.0.0.4:1"
+}
 
 // run advances the time and returns the longest time without an answer of a control host in
 // contact.
@@ -59,19 +62,19 @@
 			return
 		}
 		s.pulling[i], s.until[i] = c, s.now+s.answer
-		if inContact(c) {
+		if s.inContact(c) {
 			s.until[i] = s.now + pullWait
 		}
 	}
 	if s.now < s.until[i] {
 		return
 	}
-	s.apply(c, &fleet.PullReply{Fresh: inContact(c)})
-	if !inContact(c) {
+	s.apply(c, &fleet.PullReply{Fresh: s.inContact(c)})
+	if !s.inContact(c) {
 		s.stale++
 		s.noContact(c)
 	}
-	if !inContact(c) || s.nearer(c) {
+	if !s.inContact(c) || s.nearer(c) {
 		s.release(c)
 		s.pulling[i] = nil
 		return
@@ -106,3 +109,20 @@
 		t.Errorf("control hosts without contact were asked %d times in 30 s, want each of the four at most once in 3 s, and a few times more at first", s.stale)
 	}
 }
+
+// Guards against near control hosts that stay set aside after an outage of all of them, so
+// that their relays are not used.
+func TestNearHostsAreAskedSoonAfterAnOutage(t *testing.T) {
+	for outage := 5 * time.Second; outage < 8*time.Second; outage += 50 * time.Millisecond {
+		s := newCutWatch(t, 25*time.Millisecond)
+		near := s.controls["10.0.0.4:1"]
+		near.control.Region = "r"
+		s.outage = true
+		s.run(outage)
+		s.outage = false
+		s.run(2 * (refusedBackoff + pullWait))
+		if !near.watched {
+			t.Errorf("outage of %v: the near control host that is in contact again is not watched", outage)
+		}
+	}
+}
