--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -228,6 +228,9 @@
 	for _, r := range d.relays {
 		r.setFault(noFault)
 	}
+	for _, m := range d.entries() {
+		cutOff(m, d.targets, noFault)
+	}
 	spare, err := newTarget(d, fmt.Sprintf("t%d-spare", d.seed), "z0")
 	if err != nil {
 		d.t.Fatal(err)
