--- a/internal/claims/supervisor.go
+++ b/internal/claims/supervisor.go
@@ -54,6 +54,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.service, s.log = service, log
+	s.options.Founding = false // a folder that is empty at a later opening was lost
 	return nil
 }
 
--- a/internal/claims/supervisor_test.go
+++ b/internal/claims/supervisor_test.go
@@ -82,6 +82,9 @@
 		}
 	}
 	for i := range logs {
+		if supervisors[i].options.Founding {
+			t.Errorf("store %d would take a folder that was lost for a new one", i)
+		}
 		until("work is claimed", claimed)
 		first, _ := supervisors[i].current()
 		logs[i].setFull(true)
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -22,7 +22,7 @@
 	// heldAnswer replaces both if a request behind the answer was passed on: the answer
 	// is not streamed up to this size, since the request would be lost if it broke off.
 	// A longer answer is held as well, in steps of this size, while
-	// Config.HeldAnswerBytes allows it.
+	// Config.heldAnswerBytes allows it.
 	heldAnswer = 64 << 10
 )
 
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -30,22 +30,26 @@
 	MaxIdleConnections int           // idle connections to targets and relays that are kept
 	ApplyLimit         time.Duration // time in which a policy has to be in force, 0 if not stated
 	LinkRate           float64       // capacity of this host's link in bytes a second, 0 if unknown
-	// HeldAnswerBytes limits the memory for the parts over 64 KB of answers that are held
-	// since requests behind them were passed on; 0 means defaultHeldAnswerBytes.
-	HeldAnswerBytes int
-	Codec           hop.Codec
-	Decode          func(body []byte) (*policy.Policy, finding.List)
-	Client          *peer.Client
-	Log             *log.Logger
+	MemoryBytes        int           // memory of the process, 0 if it is not limited
+	Codec              hop.Codec
+	Decode             func(body []byte) (*policy.Policy, finding.List)
+	Client             *peer.Client
+	Log                *log.Logger
 }
 
-// defaultHeldAnswerBytes is used where the settings do not limit the memory of the process.
-const defaultHeldAnswerBytes = 16 << 20
+const (
+	// heldAnswerDivisor is the divisor of the memory of the process that gives the limit
+	// of held answers.
+	heldAnswerDivisor = 8
+	// defaultHeldAnswerBytes is that limit where the memory is not limited.
+	defaultHeldAnswerBytes = 16 << 20
+)
 
-// heldAnswerBytes returns HeldAnswerBytes or its default.
+// heldAnswerBytes returns the limit of the parts over heldAnswer of answers that are held
+// since requests behind them were passed on.
 func (c *Config) heldAnswerBytes() int {
-	if c.HeldAnswerBytes > 0 {
-		return c.HeldAnswerBytes
+	if c.MemoryBytes > 0 {
+		return c.MemoryBytes / heldAnswerDivisor
 	}
 	return defaultHeldAnswerBytes
 }
--- a/internal/gateway/cut_off_test.go
+++ b/internal/gateway/cut_off_test.go
@@ -32,18 +32,18 @@
 }
 
 // cut cuts the entry host off from all targets.
-func (f *fixture) cut(m nettest.Manner) {
+func (f *fixture) cut(m nettest.CutMode) {
 	for _, target := range f.targets {
 		target.Cut(entryIP, m)
 	}
 }
 
-var manners = map[string]nettest.Manner{"reset": nettest.Reset, "hang": nettest.Hang, "refuse new": nettest.RefuseNew}
+var modes = map[string]nettest.CutMode{"reset": nettest.Reset, "hang": nettest.Hang, "refuse new": nettest.RefuseNew}
 
 // Guards against an entry host that is cut off from all targets and serves its callers worse
 // than others, whatever they send.
 func TestEntryHostCutOffServesByItsRelay(t *testing.T) {
-	for name, manner := range manners {
+	for name, mode := range modes {
 		f := newCutFixture(t, ok)
 		f.relayAt(startRelay(t, true))
 		conn, br := f.dial() // a kept connection of a caller
@@ -59,7 +59,7 @@
 			}
 		}
 		serve("before the cut")
-		f.cut(manner)
+		f.cut(mode)
 		serve("during the cut")
 		f.cut(nettest.Connected)
 		serve("after the cut")
@@ -86,7 +86,7 @@
 // Guards against an entry host that reaches no target and no relay, and holds requests until
 // their time ends, stays in the directory, or never serves again.
 func TestEntryHostWithoutAnyWayRefusesAtOnce(t *testing.T) {
-	for name, manner := range map[string]nettest.Manner{"reset": nettest.Reset, "refuse new": nettest.RefuseNew} {
+	for name, mode := range map[string]nettest.CutMode{"reset": nettest.Reset, "refuse new": nettest.RefuseNew} {
 		f := newCutFixture(t, ok)
 		f.gateway.watch.mu.Lock()
 		f.gateway.watch.lastFresh = f.gateway.now()
@@ -94,7 +94,7 @@
 		if !f.gateway.Ready() {
 			t.Fatalf("%s: not ready before the cut", name)
 		}
-		f.cut(manner)
+		f.cut(mode)
 		r := f.refusals(10)
 		if r.Header.Get("Retry-After") == "" {
 			t.Errorf("%s: a refusal does not say when to come back", name)
@@ -126,7 +126,7 @@
 // sound targets down at the other entry hosts.
 func TestReportsOfAHostThatIsCutOffBlameNoTarget(t *testing.T) {
 	for _, name := range []string{"reset", "refuse new"} { // on loopback a target that hangs still acknowledges what it is sent
-		manner := manners[name]
+		mode := modes[name]
 		f := newCutFixture(t, ok)
 		f.gateway.reports.take("c") // reports are collected from now on
 		for i := range 20 {         // kept connections, so that some are lost with requests on them
@@ -134,7 +134,7 @@
 				t.Fatalf("%s: got %d before the cut", name, r.StatusCode)
 			}
 		}
-		f.cut(manner)
+		f.cut(mode)
 		for i := 0; !f.gateway.reach.isCut() && i < 50; i++ {
 			conn, br := f.dial()
 			fmt.Fprint(conn, strings.Replace(request("GET", "/safe/x", fmt.Sprint("c", i), ""), "Object: a", fmt.Sprint("Object: ", i), 1))
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -57,8 +57,8 @@
 
 // connect returns a connection to the nearest relay, nil if no relay is usable.
 func (r *relays) connect(now time.Duration, idempotent bool) *hop.Conn {
-	relay := r.watch.relay(relayBypassSilence)
-	if relay.Address == "" || r.inBackoff(now, relay.Address) {
+	relay, ok := r.available(now)
+	if !ok {
 		return nil
 	}
 	var u *hop.Conn
@@ -77,8 +77,14 @@
 
 // usable reports whether requests may go through a relay.
 func (r *relays) usable() bool {
+	_, ok := r.available(r.watch.now())
+	return ok
+}
+
+// available returns the nearest relay, unless its host is silent or it is in backoff.
+func (r *relays) available(now time.Duration) (hop.Endpoint, bool) {
 	relay := r.watch.relay(relayBypassSilence)
-	return relay.Address != "" && !r.inBackoff(r.watch.now(), relay.Address)
+	return relay, relay.Address != "" && !r.inBackoff(now, relay.Address)
 }
 
 // answered records the time of a relay's answer.
--- a/internal/gateway/reset_test.go
+++ b/internal/gateway/reset_test.go
@@ -42,7 +42,7 @@
 
 // Guards against an upload whose target answers at once without a length and resets the
 // connection while the upload is being written, and whose caller gets the part that arrived
-// as a whole answer (issue 35, MIXED).
+// as a whole answer (issue 35).
 func TestAnswerResetDuringUploadIsNeverWhole(t *testing.T) {
 	f := newFixture(t)
 	f.gateway.view.targets.Apply(f.gateway.now(), roster.Report{Announcement: roster.Announcement{
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -65,8 +65,8 @@
 // errBodyTaken is returned if the body was already claimed for another attempt.
 var errBodyTaken = errors.New("the body of the request was sent in another attempt")
 
-// errNotInvited is returned for a body that the relay did not ask for.
-var errNotInvited = errors.New("the relay has not asked for the body")
+// errNoContinue is returned for a body that the relay did not ask for.
+var errNoContinue = errors.New("the relay has not asked for the body")
 
 // streamByRelay writes the head of a request to a relay, and its body once the relay asks for
 // it, unless over is closed before.
@@ -75,9 +75,9 @@
 		return err
 	}
 	select {
-	case <-u.Proceed():
+	case <-u.Continue():
 	case <-over:
-		return errNotInvited
+		return errNoContinue
 	}
 	if !body.start() {
 		u.Close() // the request was given up or sent elsewhere
--- a/internal/gateway/upload_test.go
+++ b/internal/gateway/upload_test.go
@@ -97,6 +97,19 @@
 	}
 }
 
+// Guards against a large body that is refused since its first target cannot be reached,
+// although no byte of it was sent.
+func TestLargeBodyGoesToTheNextTargetAfterAFailedDial(t *testing.T) {
+	f := newFixture(t, ok, ok)
+	home := f.targets[f.order(policy.Unsafe)[0]]
+	home.Close()
+	conn, br := f.dial()
+	go func() { fmt.Fprint(conn, request("POST", "/unsafe/x", "1", upload)) }()
+	if r, body := f.read(br); r.StatusCode != http.StatusOK || !strings.HasSuffix(body, ":"+upload) || strings.HasPrefix(body, home.Name) {
+		t.Errorf("got %d and %d bytes, want the whole body from the other target", r.StatusCode, len(body))
+	}
+}
+
 // Guards against a request that must not be repeated and is sent again after a relay that had
 // asked for its body was lost.
 func TestLargeBodyIsNotSentAgainAfterItWasAskedFor(t *testing.T) {
--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -97,9 +97,9 @@
 	return ch, true
 }
 
-// Proceed returns a channel that receives a value once the other side has answered 100 to
+// Continue returns a channel that receives a value once the other side has answered 100 to
 // the request in flight, so that it waits for the body.
-func (u *Conn) Proceed() <-chan struct{} { return u.proceed }
+func (u *Conn) Continue() <-chan struct{} { return u.proceed }
 
 // usable reports whether the connection can carry another request.
 func (u *Conn) usable() bool {
--- a/internal/hop/read.go
+++ b/internal/hop/read.go
@@ -57,7 +57,7 @@
 			return Result{Err: err}
 		}
 		if response.StatusCode < 200 {
-			u.informed(response.StatusCode)
+			u.handleInformational(response.StatusCode)
 			continue
 		}
 		answer := u.codec.Answer(response.StatusCode, response.Header)
@@ -106,8 +106,8 @@
 	return response, nil
 }
 
-// informed acts on the status of an informational response.
-func (u *Conn) informed(status int) {
+// handleInformational acts on the status of an informational response.
+func (u *Conn) handleInformational(status int) {
 	if status != http.StatusContinue {
 		return
 	}
--- a/internal/hop/reset_test.go
+++ b/internal/hop/reset_test.go
@@ -43,7 +43,7 @@
 func (c *resetConn) Close() error { return nil }
 
 // Guards against an answer without a length whose target resets the connection while the
-// request is still being written, and that is taken for a whole one (issue 35, MIXED).
+// request is still being written, and that is taken for a whole one (issue 35).
 func TestResetDuringTheRequestCutsTheAnswer(t *testing.T) {
 	const id = "7"
 	for _, x := range []struct {
--- a/internal/nettest/cut.go
+++ b/internal/nettest/cut.go
@@ -5,27 +5,27 @@
 	"sync"
 )
 
-// Manner is how a Target treats the connections of a host that it is cut off from.
-type Manner int
+// CutMode is how a Target treats the connections of a host that it is cut off from.
+type CutMode int
 
-// Manners of a cut.
+// Modes of a cut.
 const (
-	Connected Manner = iota
-	Reset            // connections are reset
-	Hang             // connections are open, but nothing passes on them
-	RefuseNew        // open connections live on, new ones are reset
+	Connected CutMode = iota
+	Reset             // connections are reset
+	Hang              // connections are open, but nothing passes on them
+	RefuseNew         // open connections live on, new ones are reset
 )
 
 // cuts holds the hosts that a Target is cut off from, and its open connections.
 type cuts struct {
 	mu      sync.Mutex
 	changed *sync.Cond
-	manners map[string]Manner // by IP of the host
+	modes   map[string]CutMode // by IP of the host
 	open    map[*cutConn]bool
 }
 
 func newCuts() *cuts {
-	c := &cuts{manners: map[string]Manner{}, open: map[*cutConn]bool{}}
+	c := &cuts{modes: map[string]CutMode{}, open: map[*cutConn]bool{}}
 	c.changed = sync.NewCond(&c.mu)
 	return c
 }
@@ -34,11 +34,11 @@
 func (t *Target) AllowCuts() { t.cuts.Store(newCuts()) }
 
 // Cut cuts the target off from the host with an IP, or connects them again.
-func (t *Target) Cut(ip string, m Manner) {
+func (t *Target) Cut(ip string, m CutMode) {
 	c := t.cuts.Load()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.manners[ip] = m
+	c.modes[ip] = m
 	for conn := range c.open {
 		if conn.ip == ip && m == Reset {
 			conn.reset()
@@ -56,7 +56,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	wrapped := &cutConn{Conn: conn, cuts: c, ip: ip}
-	if m := c.manners[ip]; m == Reset || m == RefuseNew {
+	if m := c.modes[ip]; m == Reset || m == RefuseNew {
 		wrapped.reset()
 		return nil
 	}
@@ -84,7 +84,7 @@
 func (c *cutConn) await() {
 	c.cuts.mu.Lock()
 	defer c.cuts.mu.Unlock()
-	for c.cuts.manners[c.ip] == Hang && !c.done {
+	for c.cuts.modes[c.ip] == Hang && !c.done {
 		c.cuts.changed.Wait()
 	}
 }
--- a/internal/platformnode/gateway.go
+++ b/internal/platformnode/gateway.go
@@ -24,7 +24,7 @@
 		MaxIdleConnections: s.MaxIdleConnections(),
 		ApplyLimit:         s.BoundDuration("ConfigApplyS", 0),
 		LinkRate:           s.Limits.LinkMbps * 1e6 / 8,
-		HeldAnswerBytes:    s.HeldAnswerBytes(),
+		MemoryBytes:        int(s.Limits.MemoryMb << 20),
 		Codec:              platform.Codec{}, Decode: platform.DecodePolicy, Client: p.client, Log: p.log,
 	})
 	front, err := net.Listen("tcp", s.Listen.Front)
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -203,7 +203,7 @@
 		x.requestSent.Store(err == nil)
 		return nil
 	}
-	if err := x.upload.invite(); err != nil {
+	if err := x.upload.sendContinue(); err != nil {
 		return err
 	}
 	if _, err := u.Write(b.Bytes()); err == nil {
--- a/internal/relay/report.go
+++ b/internal/relay/report.go
@@ -36,7 +36,7 @@
 // markLast tells the entry host that the connection ends after the answer, since the rest of
 // a body may still be on its way on it.
 func (x *exchange) markLast(header http.Header) {
-	if x.upload != nil && x.upload.invited {
+	if x.upload != nil && x.upload.continued {
 		header.Set("Connection", "close")
 	}
 }
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -85,11 +85,11 @@
 }
 
 // stream handles a request whose body is streamed. It reports whether the connection can be
-// used for the next one, as after a failure before the body was invited.
+// used for the next one, as after a failure before the body was asked for.
 func (s *session) stream(ctx context.Context, request *http.Request) bool {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	x := newExchange(s, request, nil)
 	x.upload = uploadOf(s, request, cancel)
-	return x.run(ctx) && !x.upload.invited
+	return x.run(ctx) && !x.upload.continued
 }
--- a/internal/relay/upload.go
+++ b/internal/relay/upload.go
@@ -9,27 +9,27 @@
 )
 
 // upload is the body of a request that is streamed from the entry host to the target. The
-// entry host sends it once it is invited, so that it can send it elsewhere if this relay
+// entry host sends it once it is asked for it, so that it can send it elsewhere if this relay
 // cannot reach the target.
 type upload struct {
-	session *session
-	body    io.Reader
-	length  int64 // negative if unknown
-	invited bool
-	left    context.CancelFunc // called if the entry host leaves
+	session   *session
+	body      io.Reader
+	length    int64              // negative if unknown
+	continued bool               // the entry host was asked for the body
+	cancel    context.CancelFunc // of the request, called if the entry host leaves
 }
 
 // uploadOf returns the upload of a request, nil if its body comes with its head.
-func uploadOf(s *session, r *http.Request, left context.CancelFunc) *upload {
+func uploadOf(s *session, r *http.Request, cancel context.CancelFunc) *upload {
 	if r.Header.Get(HeaderStream) == "" {
 		return nil
 	}
-	return &upload{session: s, body: r.Body, length: r.ContentLength, left: left}
+	return &upload{session: s, body: r.Body, length: r.ContentLength, cancel: cancel}
 }
 
-// invite tells the entry host to send the body.
-func (u *upload) invite() error {
-	u.invited = true
+// sendContinue tells the entry host to send the body.
+func (u *upload) sendContinue() error {
+	u.continued = true
 	if err := writeHead(u.session.writer, http.StatusContinue, nil); err != nil {
 		return err
 	}
@@ -46,7 +46,7 @@
 		_, body.err = u.session.reader.Peek(1) // nothing more is expected
 	}
 	if body.err != nil && body.err != io.EOF || err == nil {
-		u.left()
+		u.cancel()
 	}
 }
 
--- a/test/soak/cut_off_test.go
+++ b/test/soak/cut_off_test.go
@@ -15,12 +15,12 @@
 // Times and bounds of a partition between entry hosts and all targets.
 const (
 	cutLength    = 9 * time.Second // at least; on a busy machine the cut lasts until there are leastSamples
-	cutContact   = 4 * time.Second // ContactS: from then on the hosts have to serve like the others
+	cutContact   = 4 * time.Second // from then on the hosts have to serve like the others
 	leastServed  = 0.98            // of the share that the other hosts serve
 	leastSamples = 20              // requests of a kind at each host
-	// patience is how long callers wait, and the timeout of the routes: a busy machine
+	// callerTimeout is how long callers wait, and the timeout of the routes: a busy machine
 	// alone fails no request.
-	patience = 20 * time.Second
+	callerTimeout = 20 * time.Second
 )
 
 // entries returns the entry hosts.
@@ -42,13 +42,13 @@
 	if d.cuts.IntN(4) > 0 {
 		return
 	}
-	manner := []fault{resets, blackholed, refused}[d.cuts.IntN(3)]
+	mode := []fault{resets, blackholed, refused}[d.cuts.IntN(3)]
 	first, whole := d.cuts.IntN(entryHosts), d.cuts.IntN(2) == 0
 	pause := time.Duration(500+d.cuts.IntN(3000)) * time.Millisecond
 	targets := slices.Clone(d.targets) // a spare one may be added meanwhile
 	for i, m := range d.entries() {
 		if i == first || whole && zoneOf(controlHosts+i) == zoneOf(controlHosts+first) {
-			cutOff(m, targets, manner)
+			cutOff(m, targets, mode)
 			wg.Go(func() { time.Sleep(pause); cutOff(m, targets, noFault); d.markFault() })
 		}
 	}
@@ -80,20 +80,20 @@
 }
 
 // Guards against entry hosts that are cut off from all targets and serve their callers less
-// than other entry hosts do, for any kind of request, size of body or manner of the cut.
+// than other entry hosts do, for any kind of request, size of body or mode of the cut.
 func TestEntryHostsCutOffFromTargets(t *testing.T) {
-	for seed, manner := range map[uint64]fault{201: resets, 202: blackholed, 203: refused} {
-		t.Run(fmt.Sprint("manner ", manner), func(t *testing.T) {
+	for seed, mode := range map[uint64]fault{201: resets, 202: blackholed, 203: refused} {
+		t.Run(fmt.Sprint("mode ", mode), func(t *testing.T) {
 			t.Parallel()
-			runCut(t, seed, manner)
+			runCut(t, seed, mode)
 		})
 	}
 }
 
 // runCut cuts all entry hosts of a zone off and compares what they and the others serve.
-func runCut(t *testing.T, seed uint64, manner fault) {
+func runCut(t *testing.T, seed uint64, mode fault) {
 	d := newDeployment(t, seed)
-	d.routeTimeout = patience
+	d.routeTimeout = callerTimeout
 	defer d.stop()
 	d.startTargets(6)
 	d.await("the first version is acknowledged", func() bool { return d.submitVersion(1, 1) })
@@ -105,7 +105,7 @@
 	isCut := func(i int) bool { return zoneOf(controlHosts+i) == zoneOf(controlHosts) }
 	for i, m := range d.entries() {
 		if isCut(i) {
-			cutOff(m, d.targets, manner)
+			cutOff(m, d.targets, mode)
 		}
 	}
 	var wg sync.WaitGroup
@@ -165,10 +165,10 @@
 		}
 	}
 	payload := strings.Repeat("p", size)
-	_ = conn.SetDeadline(time.Now().Add(patience))
+	_ = conn.SetDeadline(time.Now().Add(callerTimeout))
 	go func(to net.Conn) { // the entry host may answer before it has read the whole body
 		_, _ = fmt.Fprintf(to, "POST /%s/1 HTTP/1.1\r\nHost: h.example\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nCookie: Affinity-Key=%d\r\nContent-Length: %d\r\n\r\n%s",
-			kind, id, patience.Milliseconds(), len(id)%7, len(payload), payload)
+			kind, id, callerTimeout.Milliseconds(), len(id)%7, len(payload), payload)
 	}(conn)
 	s := sent{id: id}
 	if s.read(bufio.NewReader(conn), payload) {
