--- a/review/rig3/server.go
+++ b/review/rig3/server.go
@@ -57,10 +57,15 @@
 	slots      int
 	born       int64
 	work       time.Duration
+	queue      int // requests that wait for a slot, at most
 	// respond answers a request that was run; nil answers 200.
 	respond func(w http.ResponseWriter, r *http.Request)
 	// onRun is told of each run; nil if nobody is.
 	onRun func(run)
+	// garbles says whether an answer is followed by additional bytes; nil if none is. onGarbled is
+	// told of these bytes and of the request before whose answer they are sent.
+	garbles   func() bool
+	onGarbled func(extra []byte, id string)
 
 	listener net.Listener
 	http     *http.Server
@@ -68,8 +73,9 @@
 	acked    atomic.Int64 // heartbeats that were acknowledged
 	quit     chan struct{}
 
+	atWork  chan struct{} // holds a value for each slot in use
 	mu      sync.Mutex
-	running int
+	running int // requests at work or in the queue
 	runs    []run
 }
 
@@ -77,14 +83,14 @@
 func newServer(d *deployment, number int, service string, slots int, work time.Duration) (*server, error) {
 	s := &server{deployment: d, id: fmt.Sprintf("i-%s-%d", service, number), service: service, slots: slots, work: work,
 		address: fmt.Sprintf("%s:%d", d.ip(100+number), serverPort), zone: fmt.Sprintf("z%d", number%d.zones),
-		born: time.Now().UnixMilli(), quit: make(chan struct{})}
+		born: time.Now().UnixMilli(), quit: make(chan struct{}), atWork: make(chan struct{}, slots)}
 	listener, err := net.Listen("tcp", s.address)
 	if err != nil {
 		return nil, err
 	}
 	s.listener = listener
-	s.http = &http.Server{Handler: s, IdleTimeout: 10 * time.Second}
-	go func() { _ = s.http.Serve(listener) }() // ends when the server is stopped
+	s.http = &http.Server{Handler: s, IdleTimeout: 10 * time.Second, ConnContext: withConn}
+	go func() { _ = s.http.Serve(garbledListener{listener}) }() // ends when the server is stopped
 	go s.announce()
 	return s, nil
 }
@@ -114,6 +120,9 @@
 // ServeHTTP runs a request, or rejects it if it is meant for another server or the queue is full.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Request-Id")
+	if s.garbles != nil {
+		defer s.garble(w, connOf(r), id)()
+	}
 	w.Header().Set("Request-Id", id)
 	w.Header().Set("Keep-Alive", "timeout=10")
 	if want := r.Header.Get("Expect-Instance"); want != "" && want != s.id {
@@ -127,12 +136,12 @@
 	}
 	x := run{id: id, server: s.id, path: r.URL.RequestURI(), bytes: len(body), owner: ownerOf(body)}
 	s.mu.Lock()
-	full := s.running >= s.slots
+	full := s.running >= s.slots+s.queue
 	if !full {
 		s.running++
 		s.runs = append(s.runs, x)
 	}
-	load := fmt.Sprintf("%d,0,%d", s.running, s.slots)
+	load := fmt.Sprintf("%d,%d,%d", min(s.running, s.slots), max(s.running-s.slots, 0), s.slots)
 	s.mu.Unlock()
 	w.Header().Set("Server-Load", load)
 	if full {
@@ -143,7 +152,9 @@
 	if s.onRun != nil {
 		s.onRun(x)
 	}
+	s.atWork <- struct{}{}
 	time.Sleep(s.work)
+	<-s.atWork
 	s.mu.Lock()
 	s.running--
 	s.mu.Unlock()
@@ -155,6 +166,19 @@
 	_, _ = fmt.Fprintf(w, "done %s\n", id) // a caller that has left gets no answer
 }
 
+// garble sends the additional bytes that an earlier answer on the connection has left, and returns
+// what follows the answer to the request itself.
+func (s *server) garble(w http.ResponseWriter, c *garbledConn, id string) (after func()) {
+	if extra := c.sendExtra(); extra != nil {
+		s.onGarbled(extra, id)
+	}
+	return func() {
+		if s.garbles() && http.NewResponseController(w).Flush() == nil {
+			c.prepare()
+		}
+	}
+}
+
 // executed returns the runs so far.
 func (s *server) executed() []run {
 	s.mu.Lock()
