--- a/review/rig3/case12.go
+++ b/review/rig3/case12.go
@@ -10,7 +10,7 @@
 
 func init() { scripts["12"] = brokenExtras }
 
-// Largest dose of garble with extra late answers in the site kll-limits. It comes twice.
+// Largest dose of garble with extra late answers in the site kll-limits. It comes three times.
 const (
 	garbleShare   = 0.6  // of the servers
 	garbleAnswers = 0.03 // of the answers of each of them
@@ -52,7 +52,7 @@
 		servers = append(servers, s)
 	}
 	time.Sleep(3 * time.Second) // the servers are known everywhere by then
-	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
 	answers := newAnswers()
 	var wg sync.WaitGroup
--- a/review/rig3/garbler.go
+++ b/review/rig3/garbler.go
@@ -8,8 +8,11 @@
 	"sync"
 )
 
-// garbledConn is a connection of a faulty server. After some of its answers it sends a part of
-// the same answer again, at the point where the next answer is expected.
+// maxExtra limits the additional bytes after an answer.
+const maxExtra = 60
+
+// garbledConn is a connection of a faulty server. After some of its answers it sends the first
+// bytes of the same answer again, at the point where the next answer is expected.
 type garbledConn struct {
 	net.Conn
 
@@ -26,12 +29,12 @@
 	return c.Conn.Write(p)
 }
 
-// prepare keeps a part of the last answer, which ends at a random byte, for the next one.
+// prepare keeps the first bytes of the last answer, up to a random one, to be sent before the next.
 func (c *garbledConn) prepare() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.last) > 1 {
-		c.extra = append([]byte{}, c.last[:1+rand.IntN(len(c.last)-1)]...)
+		c.extra = append([]byte{}, c.last[:1+rand.IntN(min(len(c.last)-1, maxExtra))]...)
 	}
 }
 
