--- a/review/rig3/caller.go
+++ b/review/rig3/caller.go
@@ -16,6 +16,22 @@
 	signed           bool
 	answer           string
 	after            time.Duration
+	whole            time.Duration // when the whole body had been handed to the connection, 0 if it never was
+}
+
+// watchedBody notes when its last byte was read.
+type watchedBody struct {
+	reader *bytes.Reader
+	begun  time.Time
+	whole  atomic.Int64 // time since begun, in nanoseconds
+}
+
+func (b *watchedBody) Read(p []byte) (int, error) {
+	n, err := b.reader.Read(p)
+	if b.reader.Len() == 0 {
+		b.whole.CompareAndSwap(0, int64(time.Since(b.begun)))
+	}
+	return n, err
 }
 
 // requestNumber numbers the requests of all callers.
@@ -30,19 +46,25 @@
 // send sends one request to an edge and waits for its answer until the limit.
 func send(c *http.Client, edge *host, method, path string, body []byte, id string, limit time.Duration) sent {
 	s := sent{id: id, method: method, path: path}
-	r, err := http.NewRequest(method, fmt.Sprintf("http://%s:%d%s", edge.ip, frontPort, path), bytes.NewReader(body))
+	watched := &watchedBody{reader: bytes.NewReader(body)}
+	r, err := http.NewRequest(method, fmt.Sprintf("http://%s:%d%s", edge.ip, frontPort, path), watched)
 	if err != nil {
 		return s
 	}
-	r.GetBody = nil // the transport sends nothing again on its own
+	r.ContentLength = int64(len(body))
+	if len(body) == 0 {
+		r.Body = http.NoBody
+	}
 	r.Host = hostName
 	r.Header.Set("Request-Id", id)
 	r.Header.Set("Deadline-Ms", fmt.Sprint(limit.Milliseconds()))
 	begun := time.Now()
+	watched.begun = begun
 	timer := *c
 	timer.Timeout = limit
 	answer, err := timer.Do(r)
 	s.after = time.Since(begun)
+	s.whole = time.Duration(watched.whole.Load())
 	if err != nil {
 		return s
 	}
--- a/review/rig3/server.go
+++ b/review/rig3/server.go
@@ -60,6 +60,8 @@
 	queue      int // requests that wait for a slot, at most
 	// respond answers a request that was run; nil answers 200.
 	respond func(w http.ResponseWriter, r *http.Request)
+	// readsLate is how long the server works on a request before it reads its body.
+	readsLate time.Duration
 	// onRun is told of each run; nil if nobody is.
 	onRun func(run)
 	// garbles says whether an answer is followed by additional bytes; nil if none is. onGarbled is
@@ -77,6 +79,7 @@
 	mu      sync.Mutex
 	running int // requests at work or in the queue
 	runs    []run
+	begun   map[string]time.Time // start of the work, by request, of a server that reads late
 }
 
 // newServer starts a server at an address of the deployment, and its heartbeats.
@@ -130,6 +133,10 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if s.readsLate > 0 {
+		s.begin(id)
+		time.Sleep(s.readsLate)
+	}
 	body, err := readBody(r)
 	if err != nil {
 		return // the request did not arrive whole
@@ -179,6 +186,16 @@
 	}
 }
 
+// begin records that the server begins to work on a request whose body it has not read yet.
+func (s *server) begin(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.begun == nil {
+		s.begun = map[string]time.Time{}
+	}
+	s.begun[id] = time.Now()
+}
+
 // executed returns the runs so far.
 func (s *server) executed() []run {
 	s.mu.Lock()
