A target's 503 that does not state 'not run' is no refusal to the caller

Cause: to callers 408, 421, 429 and 503 say 'not run'. Only a target that states so (Not-Executed, or 421) may cause one. handleResponse tested the statement to decide on a retry, but passed the status of any other answer on.

Fix: the codec of the platform says which statuses are refusals to callers, and the gateway decides that such an answer without the target's statement is a failure with an unknown outcome, before a byte is sent to the caller: another target if the request may be repeated, else a 502 of the gateway's own without the target's signature.

Related paths: 408 and 429 had the same fault and besides counted as successes; the relay path, streamed answers and the last attempt of requests that may be repeated are covered by the same decision; hornbeam-entry tells callers by Hornbeam-Outcome and is not affected.

--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -194,6 +194,8 @@
 		return g.fail(x, statusCallerLeft, "the caller has left")
 	case last.outcome == timedOut:
 		return g.fail(x, http.StatusGatewayTimeout, "the target did not answer in time")
+	case last.outcome == targetError:
+		return g.fail(x, http.StatusBadGateway, "the target failed and may have run the request", "err", last.err)
 	}
 	return g.fail(x, http.StatusBadGateway, "the target's answer was lost", "last", last.outcome, "err", last.err)
 }
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -46,6 +47,7 @@
 	}
 	pause, _ := strconv.Atoi(h.Get("Pause"))
 	return hop.Answer{ID: h.Get("Id"), Signed: h.Get("Unsigned") == "", NotExecuted: h.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest,
+		Refusal: slices.Contains(refusalStatuses, status),
 		Leaving: h.Get("Leaving") != "", RetryAfter: time.Duration(pause) * time.Millisecond}
 }
 
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -91,6 +92,10 @@
 // which may come from another process.
 var errUnsigned = errors.New("the success response is not signed by the target")
 
+// errUnconfirmedRefusal is returned for a status that callers take for the statement that
+// the request was not run, without that statement by the target.
+var errUnconfirmedRefusal = errors.New("the target does not state that it has not run the request")
+
 // handleResponse turns a response into the result of the attempt and records the
 // evidence about the target. complete means that the whole request was sent.
 func (d *delivery) handleResponse(u *hop.Conn, t *roster.Target, e *evidence.Target, r hop.Result, complete bool) attempt {
@@ -138,6 +143,13 @@
 	if a.outcome != answered {
 		return a
 	}
+	if r.Answer.Refusal {
+		a.reply.finish(false) // the rest of the body is not read
+		d.gateway.meters.count("answer.unconfirmed_refusal")
+		e.RecordFailure(now)
+		err := fmt.Errorf("%w: status %d", errUnconfirmedRefusal, r.Response.StatusCode)
+		return attempt{outcome: targetError, err: err, released: a.released}
+	}
 	if r.Response.StatusCode >= http.StatusInternalServerError {
 		if !a.timedOutAtTarget() {
 			e.RecordFailure(now)
--- a/internal/hop/codec.go
+++ b/internal/hop/codec.go
@@ -18,6 +18,7 @@
 type Answer struct {
 	ID          string         // id of the request that this responds to
 	NotExecuted bool           // the target has not executed the request and will not do so
+	Refusal     bool           // to callers, the status means that the request was not executed
 	Load        *evidence.Load // load reported by the target, nil if not stated
 	Signed      bool           // the response carries the signature of the target
 	Leaving     bool           // the target is about to exit and must get no further requests
