Entries for a service that no policy names take no target out of use

Cause: the roster gave an address to the latest life that announced it and marked the earlier holder as leaving, which is final. The verdict rested on another writer's word, did not ask whether the entry names a target to use, and outlived the entry.

Fix, in the roster, on control hosts and entry hosts: it knows the services of the policy and lets no announcement of another one take an address or a name; who holds an address is derived from present announcements, is not final and not sent on. Control hosts get the services with the committed policy.

Related paths: an entry under the id of a target made the target's own heartbeats look old for good, and one that says 'draining' had its departure committed: both fixed, a control host refuses them with 503. An entry for an existing service at a sound target's address cannot be told from a reused address; it now counts only while it announces itself.

TestAddressBelongsToTheLaterLife asked for the final mark 'leaving' on the earlier target; it now asks that the earlier one is not usable and the later one is.

--- a/internal/core/announce.go
+++ b/internal/core/announce.go
@@ -12,12 +12,24 @@
 // so that an announcement may not reach every entry host.
 var ErrOutOfContact = errors.New("this control host is not in contact with a majority")
 
+// ErrContradiction is returned for an announcement of a service that the policy does not
+// name under the name of a target whose service it names. It comes from another writer, or
+// from a target of a service that this host is about to hear of.
+var ErrContradiction = errors.New("the policy names the service that the target has, but not the announced one")
+
 // Announce records an announcement of a target. If the target is leaving, it
 // returns only once the departure is committed to the desired state, which every
 // entry host follows. Otherwise it returns at once, with ErrOutOfContact if this
-// host is not in contact with a majority.
+// host is not in contact with a majority. An announcement that contradicts what the policy
+// says of the target changes nothing and returns ErrContradiction.
 func (n *Node) Announce(ctx context.Context, a roster.Announcement) error {
 	n.count("announcements")
+	if n.targets.Contradicts(&a) {
+		n.count("announcements.contradicting")
+		n.config.Log.Warn("announcement contradicts the target", "target", a.Name, "service", a.Service, "address", a.Address,
+			"life", a.Life, "sequence", a.Sequence, "leaving", a.Leaving)
+		return ErrContradiction
+	}
 	now := n.now()
 	fresh := n.fresh()
 	leaving := a.Leaving
@@ -52,10 +64,11 @@
 	return &ConfirmationError{Basis: Basis(max(life, 1))}
 }
 
-// TargetAt returns a target and whether its newest announcement gave this address.
+// TargetAt returns a target and whether its newest announcement gave this address and no
+// other target has taken the address over.
 func (n *Node) TargetAt(name, address string) (roster.Target, bool) {
 	t, ok := n.targets.Find(name)
-	return t, ok && t.Address == address
+	return t, ok && t.Address == address && !t.Superseded
 }
 
 // submitDeparture submits a departure unless the desired state already contains it.
--- a/internal/core/meters.go
+++ b/internal/core/meters.go
@@ -26,6 +26,9 @@
 	n.gauge("orders.evacuated_zones", int64(len(state.Orders.Evacuated)))
 	n.gauge("orders.departures", int64(len(state.Orders.Departures)))
 	n.gauge("targets.known", int64(len(n.targets.All())))
+	counts := n.targets.Counts()
+	n.gauge("targets.unnamed_service", int64(counts.Unnamed))
+	n.gauge("targets.superseded", int64(counts.Superseded))
 	n.gauge("fleet.entry_hosts", int64(len(n.entries.live(now))))
 	n.gauge("fleet.control_hosts", int64(len(n.otherControls.known(now))))
 	if g := n.currentGroup(); g != nil {
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -48,6 +48,8 @@
 	registry  metrics.Registry
 	inContact bool // as last logged; used only by sweepLoop
 
+	servicesMu sync.Mutex // held by updateServices
+
 	tasks sync.WaitGroup // loops and exchanges in flight
 
 	supervisor *replica.Supervisor // of this host's member of the agreement group
@@ -74,6 +76,7 @@
 	n.tasks.Go(func() { n.exchangeLoop(ctx) })
 	n.tasks.Go(func() { n.sweepLoop(ctx) })
 	n.tasks.Go(func() { n.departureLoop(ctx) })
+	n.tasks.Go(func() { n.serviceLoop(ctx) })
 	return n
 }
 
@@ -94,6 +97,7 @@
 	case c.Document != nil:
 		n.documentAppliedAt.Store(int64(n.now()))
 		n.documents.add(c.Document.Body)
+		n.updateServices()
 		n.config.Log.Info("policy in force", "version", c.Document.Version, "bytes", len(c.Document.Body))
 	case c.Evacuate != "":
 		n.config.Log.Info("availability zone evacuated", "zone", c.Evacuate)
--- a/internal/desired/command.go
+++ b/internal/desired/command.go
@@ -14,6 +14,9 @@
 type Document struct {
 	Version policy.Version `cbor:"1,keyasint"`
 	Body    []byte         `cbor:"2,keyasint"`
+	// Services are the services that the policy names, so that control hosts need not
+	// decode the body. Documents that an earlier version committed have none.
+	Services []string `cbor:"3,keyasint,omitempty"`
 }
 
 // Departure records that a target is leaving.
@@ -39,6 +42,9 @@
 // names returns the names in the command.
 func (c *Command) names() []string {
 	names := []string{c.Evacuate, c.Readmit}
+	if c.Document != nil {
+		names = append(names, c.Document.Services...)
+	}
 	if c.Departure != nil {
 		names = append(names, c.Departure.Name)
 	}
--- a/internal/gateway/cut_off.go
+++ b/internal/gateway/cut_off.go
@@ -32,7 +32,7 @@
 
 // targetFailed records that a target was not reached directly.
 func (g *Gateway) targetFailed(t *roster.Target) {
-	all := g.view.targets.All()
+	all := g.view.namedTargets()
 	zones := map[string]bool{}
 	for i := range all {
 		zones[all[i].Zone] = true
@@ -89,7 +89,7 @@
 	g.reach.mu.Lock()
 	due := g.reach.detector.Probe(g.now())
 	g.reach.mu.Unlock()
-	all := g.view.targets.All()
+	all := g.view.namedTargets()
 	if !due || len(all) == 0 {
 		return
 	}
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -83,6 +83,7 @@
 		return false
 	}
 	v.policy, v.stale = p, true
+	v.targets.SetServices(p.ServiceNames())
 	return true
 }
 
@@ -162,11 +163,17 @@
 	v.builtAt, v.revision, v.stale = now, revision, false
 }
 
-// usable reports whether a target may get requests: it is not leaving, its
+// namedTargets returns the targets of services that the policy names. The others may come
+// from another writer, and nothing is to be concluded from whether they can be reached.
+func (v *view) namedTargets() []roster.Target {
+	return slices.DeleteFunc(v.targets.All(), func(t roster.Target) bool { return t.Unnamed })
+}
+
+// usable reports whether a target may get requests: no announcement rules it out, its
 // availability zone is not evacuated and, if silent, it announced itself within
 // silentLimit.
 func (v *view) usable(now time.Duration, t *roster.Target) bool {
-	if t.Leaving || slices.Contains(v.evacuated, t.Zone) {
+	if !t.Usable() || slices.Contains(v.evacuated, t.Zone) {
 		return false
 	}
 	return !t.Silent || now-t.LastHeard < silentLimit
--- a/pkg/policy/policy.go
+++ b/pkg/policy/policy.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"maps"
 	"net"
 	"slices"
 	"strings"
@@ -41,6 +42,9 @@
 	priorities map[string][]int
 }
 
+// ServiceNames returns the names of all services, sorted.
+func (p *Policy) ServiceNames() []string { return slices.Sorted(maps.Keys(p.Services)) }
+
 // Match returns the route of a host with the longest matching prefix of path, nil
 // if there is none. The host may have a port, which is ignored.
 func (p *Policy) Match(host, path string) *Route {
--- a/pkg/roster/heartbeat.go
+++ b/pkg/roster/heartbeat.go
@@ -36,7 +36,6 @@
 	if !t.Silent {
 		return false, true
 	}
-	t.Silent = false
-	r.markChanged(t)
+	r.setSilent(t, false)
 	return true, true
 }
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -17,18 +17,20 @@
 type Roster struct {
 	mu             sync.RWMutex
 	targets        map[string]*Target
-	addresses      map[string]string // target name by address
-	departures     map[string]Life   // by target name: this life and all earlier ones are leaving
-	departureOrder []string          // keys of departures, oldest first
-	revision       uint64            // number of changes so far
-	retention      time.Duration     // time without an announcement after which a target is forgotten
+	shadowed       map[string]*Target // by name: announcements for another service than that of the target, see Apply
+	services       map[string]bool    // that the policy names, nil if unknown
+	addresses      addressClaims
+	departures     map[string]Life // by target name: this life and all earlier ones are leaving
+	departureOrder []string        // keys of departures, oldest first
+	revision       uint64          // number of changes so far
+	retention      time.Duration   // time without an announcement after which a target is forgotten
 }
 
 // New returns an empty roster that forgets targets without an announcement for
 // forgetAfter.
 func New(forgetAfter time.Duration) *Roster {
-	return &Roster{targets: map[string]*Target{}, addresses: map[string]string{}, departures: map[string]Life{},
-		retention: forgetAfter}
+	return &Roster{targets: map[string]*Target{}, shadowed: map[string]*Target{}, addresses: addressClaims{},
+		departures: map[string]Life{}, retention: forgetAfter}
 }
 
 // Revision returns the number of changes so far that must be sent to other hosts.
@@ -40,63 +42,96 @@
 
 // Apply records an announcement, received from the target or from another host. It
 // reports whether the roster changed in a way that must be sent to other hosts.
+//
+// An announcement for a service that the policy does not name may come from another writer
+// and changes nothing about a target whose service the policy names. It is kept aside, as
+// the policy may come to name the service.
 func (r *Roster) Apply(now time.Duration, report Report) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	a := report.Announcement
-	heard := max(now-report.Age, 0)
-	old, known := r.targets[a.Name]
-	if known && !a.newerThan(&old.Announcement) {
-		if a.Life != old.Life || a.Sequence != old.Sequence {
-			return false
-		}
-		old.LastHeard = max(old.LastHeard, heard)
-		if old.Silent == report.Silent {
-			return false
-		}
-		old.Silent = report.Silent
-		r.markChanged(old)
+	t := newTarget(now, report)
+	old, known := r.targets[t.Name]
+	if !known {
+		r.add(t)
 		return true
 	}
-	if left, ok := r.departures[a.Name]; ok && a.Life <= left {
-		a.Leaving = true
+	if old.Service == t.Service {
+		return r.update(old, t)
 	}
-	t := &Target{Announcement: a, LastHeard: heard, Joined: heard, Silent: report.Silent, revision: r.revision}
-	if a.ColdFor > 0 {
-		t.ColdUntil = heard + a.ColdFor
+	if !r.takesOver(t, old) {
+		r.shadow(t)
+		return false
 	}
-	changed := true
-	if known && old.Life == a.Life {
-		t.Joined = old.Joined
-		t.Leaving = t.Leaving || old.Leaving
-		t.LastHeard = max(old.LastHeard, heard)
-		changed = differsMaterially(old, t)
-		t.revision = old.revision
+	r.remove(old)
+	r.shadow(old)
+	r.add(t)
+	return true
+}
+
+// newTarget returns the target that a report describes.
+func newTarget(now time.Duration, report Report) *Target {
+	heard := max(now-report.Age, 0)
+	t := &Target{Announcement: report.Announcement, LastHeard: heard, Joined: heard, Silent: report.Silent}
+	if t.ColdFor > 0 {
+		t.ColdUntil = heard + t.ColdFor
 	}
-	r.targets[a.Name] = t
-	if changed {
-		r.markChanged(t)
-		r.claimAddress(t, old)
+	return t
+}
+
+// add enters a target under a name that no other has. The caller holds mu.
+func (r *Roster) add(t *Target) {
+	if left, ok := r.departures[t.Name]; ok && t.Life <= left {
+		t.Leaving = true
 	}
-	return changed
+	t.Unnamed = !r.names(t.Service)
+	r.targets[t.Name] = t
+	r.addresses.add(t)
+	r.markChanged(t)
+	r.settle(t.Address)
 }
 
-// claimAddress assigns the address of t to it. The target that held the address before
-// is marked as leaving, unless it has the later life: then t is. The caller holds mu.
-func (r *Roster) claimAddress(t, old *Target) {
-	if old != nil && old.Address != t.Address && r.addresses[old.Address] == t.Name {
-		delete(r.addresses, old.Address)
+// remove drops a target. The caller holds mu.
+func (r *Roster) remove(t *Target) {
+	delete(r.targets, t.Name)
+	r.addresses.remove(t)
+	r.settle(t.Address)
+}
+
+// update replaces old by a newer announcement for the same service. It reports whether that
+// must be sent to other hosts. The caller holds mu.
+func (r *Roster) update(old, t *Target) bool {
+	if !t.newerThan(&old.Announcement) {
+		return r.refresh(old, t)
 	}
-	holder, ok := r.targets[r.addresses[t.Address]]
-	if ok && holder.Name != t.Name {
-		if holder.Life > t.Life {
-			t.Leaving = true // late announcement: a target that started later holds the address
-			return
-		}
-		holder.Leaving = true
-		r.markChanged(holder)
+	if old.Life != t.Life {
+		r.remove(old)
+		r.add(t)
+		return true
+	}
+	t.Joined = old.Joined
+	t.Leaving = t.Leaving || old.Leaving
+	t.LastHeard = max(old.LastHeard, t.LastHeard)
+	if differsMaterially(old, t) {
+		r.remove(old)
+		r.add(t)
+		return true
+	}
+	t.Unnamed, t.Superseded, t.revision = old.Unnamed, old.Superseded, old.revision
+	r.targets[t.Name] = t
+	return false
+}
+
+// refresh updates old from a repetition of its announcement. The caller holds mu.
+func (r *Roster) refresh(old, t *Target) bool {
+	if t.Life != old.Life || t.Sequence != old.Sequence {
+		return false
+	}
+	old.LastHeard = max(old.LastHeard, t.LastHeard)
+	if old.Silent == t.Silent {
+		return false
 	}
-	r.addresses[t.Address] = t.Name
+	r.setSilent(old, t.Silent)
+	return true
 }
 
 // differsMaterially reports whether t differs from old in a way that must be sent to
@@ -129,9 +164,13 @@
 		delete(r.departures, r.departureOrder[0])
 		r.departureOrder = r.departureOrder[1:]
 	}
+	if t, ok := r.shadowed[name]; ok && t.Life <= life {
+		t.Leaving = true
+	}
 	if t, ok := r.targets[name]; ok && t.Life <= life && !t.Leaving {
 		t.Leaving = true
 		r.markChanged(t)
+		r.settle(t.Address)
 	}
 }
 
@@ -170,42 +209,6 @@
 	return list
 }
 
-// MarkSilent marks the targets without an announcement for longer than overdue as
-// silent, and returns the names of those that were not marked before.
-func (r *Roster) MarkSilent(now, overdue time.Duration) []string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var names []string
-	for name, t := range r.targets {
-		if !t.Silent && now-t.LastHeard > overdue {
-			t.Silent = true
-			r.markChanged(t)
-			names = append(names, name)
-		}
-	}
-	return names
-}
-
-// Forget drops the silent and the leaving targets without an announcement for the
-// retention time, and returns their names. A host that is told only of changes hears
-// nothing of the others.
-func (r *Roster) Forget(now time.Duration) []string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var names []string
-	for name, t := range r.targets {
-		if now-t.LastHeard < r.retention || !t.Silent && !t.Leaving {
-			continue
-		}
-		names = append(names, name)
-		delete(r.targets, name)
-		if r.addresses[t.Address] == name {
-			delete(r.addresses, t.Address)
-		}
-	}
-	return names
-}
-
 // NewReport returns the report of a target for another host.
 func NewReport(t *Target, now time.Duration) Report {
 	report := Report{Announcement: t.Announcement, Age: now - t.LastHeard, Silent: t.Silent}
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -63,8 +63,8 @@
 		}
 		gone, _ := r.Find("old")
 		current, _ := r.Find("new")
-		if !gone.Leaving || current.Leaving {
-			t.Errorf("old target leaving: %v, want true; new target leaving: %v, want false", gone.Leaving, current.Leaving)
+		if gone.Usable() || !current.Usable() {
+			t.Errorf("old target usable: %v, want false; new target usable: %v, want true", gone.Usable(), current.Usable())
 		}
 	}
 }
--- a/pkg/roster/target.go
+++ b/pkg/roster/target.go
@@ -31,13 +31,19 @@
 // that holds the roster.
 type Target struct {
 	Announcement
-	LastHeard time.Duration // when the newest announcement was sent
-	ColdUntil time.Duration // end of the warm-up; zero if there is none
-	Joined    time.Duration // when this life was first announced
-	Silent    bool          // announcements are overdue
-	revision  uint64        // of the last change of this target
+	LastHeard  time.Duration // when the newest announcement was sent
+	ColdUntil  time.Duration // end of the warm-up; zero if there is none
+	Joined     time.Duration // when this life was first announced
+	Silent     bool          // announcements are overdue
+	Unnamed    bool          // the policy does not name the service
+	Superseded bool          // a target that started later announces the same address
+	revision   uint64        // of the last change of this target
 }
 
+// Usable reports whether the target may get requests as far as its own announcements and
+// those of the other targets say. A silent target may.
+func (t *Target) Usable() bool { return !t.Leaving && !t.Unnamed && !t.Superseded }
+
 // Cold reports whether the target is still warming up.
 func (t *Target) Cold(now time.Duration) bool { return t.ColdUntil > now }
 
