A connection belongs to the exchange of one request at a time

Cause: a connection had no owner. A goroutine waits until the relay asks for an upload's body, on a channel of the connection. A relay that turns the upload away ends the attempt, and its answer put the connection back into the pool while the goroutine was still waiting. When the relay asked for the body of the next upload on it, the first goroutine could take that and write its own.

Fix, in internal/hop: a request uses a connection through an Exchange, and what writes, waits, closes or reads the response goes through it and ends with it. Pool.Release keeps a connection only if the request was written (or its body held back and not asked for), the response was read to its end and nothing is being written; its callers no longer judge that. The gateway waits for the relay to ask where it waits for the answer.

Paths looked at: a relay that asks and answers without closing left the body due on a kept connection (no relay of ours does): closed now. relays.abortSilent could close a connection that carried the next request: it closes the exchange now. Early answers to direct uploads, timers of callers that leave, the relay's uploads to targets: sound before, decided by Release now. Messages between hosts share one stream and never hand it over. hornbeam-entry: net/http and its own seal, sound by reading.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -115,12 +115,10 @@
 	if d.noRelay || d.exchange.call.ID == "" || !d.bodyMayPass(g.config.Region) {
 		return attempt{outcome: notTaken}
 	}
-	idempotent := d.exchange.route.Kind.Idempotent()
-	u := g.relays.connect(g.now(), idempotent)
+	u := g.relays.connect(g.now(), d.exchange.route.Kind.Idempotent())
 	if u == nil {
 		return attempt{outcome: notTaken}
 	}
-	defer g.relays.trackInFlight(u, idempotent)()
 	d.via = viaRelay
 	return d.sendTimed(u, t, e)
 }
--- a/internal/gateway/read_answer.go
+++ b/internal/gateway/read_answer.go
@@ -9,15 +9,14 @@
 	"github.com/hornbeamstack/hornbeamstack/internal/hop"
 	"github.com/hornbeamstack/hornbeamstack/pkg/evidence"
 	"github.com/hornbeamstack/hornbeamstack/pkg/policy"
-	"github.com/hornbeamstack/hornbeamstack/pkg/roster"
 )
 
 // readAnswer buffers the start of the response body. If that is the whole body, it
 // releases the connection; otherwise the reply's finish does.
-func (d *delivery) readAnswer(u *hop.Conn, t *roster.Target, e *evidence.Target, r hop.Result, complete bool) attempt {
+func (d *delivery) readAnswer(c *hop.Exchange, e *evidence.Target, r hop.Result) attempt {
 	response := r.Response
 	reply := &reply{status: response.StatusCode, header: hop.EndToEndHeaders(response.Header), length: response.ContentLength}
-	stop := d.watchCaller(u)
+	stop := d.watchCaller(c)
 	limit := bufferedAnswer
 	if d.exchange.route.Kind == policy.Download {
 		limit = bufferedDownload
@@ -33,7 +32,7 @@
 	if err != nil && err != io.EOF {
 		d.gateway.held.Release(held)
 		stop()
-		u.Abort()
+		c.Abort()
 		if d.exchange.ctx.Err() != nil {
 			return attempt{outcome: callerLeft}
 		}
@@ -43,20 +42,20 @@
 		return attempt{outcome: broken, err: err}
 	}
 	reply.body = head
-	reusable := complete && !response.Close
 	if err == io.EOF {
-		reusable = stop() && reusable
+		stop()
 		if response.ContentLength < 0 || d.exchange.request.Method != http.MethodHead {
 			reply.length = int64(len(head))
 		}
-		d.release(u, e, reusable)
+		d.release(c, e)
 		reply.finish = func(bool) { d.gateway.held.Release(held) }
 		return attempt{outcome: answered, reply: reply, released: true}
 	}
 	reply.rest = response.Body
-	reply.finish = func(sent bool) {
+	reply.finish = func(bool) {
 		d.gateway.held.Release(held)
-		d.release(u, e, stop() && sent && reusable)
+		stop()
+		d.release(c, e)
 	}
 	return attempt{outcome: answered, reply: reply, released: true}
 }
@@ -91,24 +90,20 @@
 	return buffer, err
 }
 
-// watchCaller closes the connection when the caller leaves or the answer comes too late.
-// If stop returns true, the connection was not closed and may be reused.
-func (d *delivery) watchCaller(u *hop.Conn) (stop func() bool) {
-	forget := context.AfterFunc(d.exchange.ctx, u.Close)
-	timer := time.AfterFunc(d.answerLimit-d.gateway.now(), u.Close)
-	return func() bool {
-		inTime := timer.Stop()
-		return forget() && inTime
+// watchCaller closes the connection when the caller leaves or the answer comes too late,
+// until stop is called.
+func (d *delivery) watchCaller(c *hop.Exchange) (stop func()) {
+	forget := context.AfterFunc(d.exchange.ctx, c.Close)
+	timer := time.AfterFunc(d.answerLimit-d.gateway.now(), c.Close)
+	return func() {
+		timer.Stop()
+		forget()
 	}
 }
 
-// release ends the request in the target's count and returns the connection to the
-// pool, or aborts it if it is not reusable.
-func (d *delivery) release(u *hop.Conn, e *evidence.Target, reusable bool) {
+// release ends the request in the target's count and its use of the connection, which is
+// kept if the answer was read to its end.
+func (d *delivery) release(c *hop.Exchange, e *evidence.Target) {
 	e.Release()
-	if reusable {
-		d.gateway.pool.Put(u)
-		return
-	}
-	u.Abort()
+	d.gateway.pool.Release(c)
 }
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -44,11 +44,11 @@
 	mu           sync.Mutex
 	backoffUntil map[string]time.Duration // by relay, which is not used before then
 	heard        map[string]time.Duration // last answer by relay
-	inFlight     map[*hop.Conn]bool       // connections with an idempotent request in flight
+	inFlight     map[*hop.Exchange]bool   // of idempotent requests in flight
 }
 
 func newRelays(w *watch, p *hop.Pool, linkRate float64) *relays {
-	r := &relays{watch: w, pool: p, backoffUntil: map[string]time.Duration{}, heard: map[string]time.Duration{}, inFlight: map[*hop.Conn]bool{}}
+	r := &relays{watch: w, pool: p, backoffUntil: map[string]time.Duration{}, heard: map[string]time.Duration{}, inFlight: map[*hop.Exchange]bool{}}
 	if linkRate > 0 {
 		r.rate = strconv.FormatFloat(linkRate*linkUse, 'f', 0, 64)
 	}
@@ -126,19 +126,19 @@
 	return ok && now < until
 }
 
-// trackInFlight registers the connection of a request in flight if the request is
-// idempotent. The returned function removes it.
-func (r *relays) trackInFlight(u *hop.Conn, idempotent bool) (end func()) {
+// trackInFlight registers a request in flight if it is idempotent. The returned function
+// removes it.
+func (r *relays) trackInFlight(c *hop.Exchange, idempotent bool) (end func()) {
 	if !idempotent {
 		return func() {}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.inFlight[u] = true
+	r.inFlight[c] = true
 	return func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		delete(r.inFlight, u)
+		delete(r.inFlight, c)
 	}
 }
 
@@ -149,9 +149,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	maps.DeleteFunc(r.heard, func(_ string, at time.Duration) bool { return now-at >= relayAliveWindow })
-	for u := range r.inFlight {
-		if r.watch.relaySilent(u.Address()) >= relayAbortSilence {
-			u.Close()
+	for c := range r.inFlight {
+		if r.watch.relaySilent(c.Address()) >= relayAbortSilence {
+			c.Close()
 		}
 	}
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -17,77 +17,88 @@
 	g, x := d.gateway, d.exchange
 	left := d.deadline - g.now()
 	if left <= 0 {
-		u.Abort()
+		u.Close()
 		return attempt{outcome: unreached, err: errNoTimeLeft}
 	}
 	request := d.forwarded(t, left)
-	responses, ok := u.Expect(request, x.call.ID)
+	c, ok := u.Begin(request, x.call.ID)
 	if !ok && d.via == viaRelay {
 		return attempt{outcome: notTaken}
 	}
 	if !ok {
 		return attempt{outcome: unreached, err: hop.ErrConnectionEnded}
 	}
-	u.SetWriteDeadline(time.Now().Add(left)) // an error, as on a closed connection, shows up in the write
-	sent := make(chan error, 1)
-	over := make(chan struct{})
-	defer close(over)
+	if d.via == viaRelay {
+		defer g.relays.trackInFlight(c, x.route.Kind.Idempotent())()
+	}
+	c.SetWriteDeadline(time.Now().Add(left)) // an error, as on a closed connection, shows up in the write
+	if !d.write(c, request) {
+		c.Abort()
+		return attempt{outcome: unreached, err: errBodyTaken}
+	}
+	return d.await(c, t, e)
+}
+
+// write sends a request. A body that is streamed follows in the background: at once to a
+// target, and once it asks for it to a relay. It returns false, and has sent nothing, if the
+// body was claimed before.
+func (d *delivery) write(c *hop.Exchange, request *http.Request) bool {
+	body := d.exchange.body
 	switch {
-	case x.body.rest == nil:
-		sent <- writeRequest(u, request, x.body)
+	case body.rest == nil:
+		if writeRequest(c, request, body) == nil { // a failed write ends the connection
+			c.MarkSent()
+		}
 	case d.via == viaRelay:
-		go func() { sent <- streamByRelay(u, request, x.body, over) }()
-	case x.body.start():
-		go func() { sent <- writeRequest(u, request, x.body); x.body.markDone() }()
+		c.HoldBody()
+		_ = writeHead(c, request, body)
+	case body.start():
+		go sendBody(c, body, func() error { return writeRequest(c, request, body) })
 	default:
-		u.Abort()
-		return attempt{outcome: unreached, err: errBodyTaken}
+		return false
+	}
+	return true
+}
+
+// sendBody runs a function that writes a body, which was claimed before.
+func sendBody(c *hop.Exchange, body *requestBody, write func() error) {
+	defer body.markDone()
+	if write() == nil {
+		c.MarkSent()
 	}
-	timer := time.NewTimer(d.answerLimit - g.now())
+}
+
+// await waits for the response, and for the relay to ask for the body.
+func (d *delivery) await(c *hop.Exchange, t *roster.Target, e *evidence.Target) attempt {
+	x := d.exchange
+	timer := time.NewTimer(d.answerLimit - d.gateway.now())
 	defer timer.Stop()
-	select {
-	case r := <-responses:
-		complete := false
+	for {
 		select {
-		case err := <-sent:
-			complete = err == nil
-		default:
+		case <-c.Asked():
+			if d.via != viaRelay || x.body.rest == nil {
+				continue
+			}
+			if !x.body.start() {
+				c.Abort()
+				return attempt{outcome: broken, err: errBodyTaken, relayLost: true}
+			}
+			go sendBody(c, x.body, func() error { return copyBody(c, x.body) })
+		case r := <-c.Results():
+			return d.handleResponse(c, t, e, r)
+		case <-timer.C:
+			c.Abort()
+			return attempt{outcome: timedOut}
+		case <-x.ctx.Done():
+			c.Abort()
+			return attempt{outcome: callerLeft}
 		}
-		return d.handleResponse(u, t, e, r, complete)
-	case <-timer.C:
-		u.Abort()
-		return attempt{outcome: timedOut}
-	case <-x.ctx.Done():
-		u.Abort()
-		return attempt{outcome: callerLeft}
 	}
 }
 
 // errBodyTaken is returned if the body was already claimed for another attempt.
 var errBodyTaken = errors.New("the body of the request was sent in another attempt")
 
-// errNoContinue is returned for a body that the relay did not ask for.
-var errNoContinue = errors.New("the relay has not asked for the body")
-
-// streamByRelay writes the head of a request to a relay, and its body once the relay asks for
-// it, unless over is closed before.
-func streamByRelay(u *hop.Conn, r *http.Request, body *requestBody, over <-chan struct{}) error {
-	if err := writeHead(u, r, body); err != nil {
-		return err
-	}
-	select {
-	case <-u.Continue():
-	case <-over:
-		return errNoContinue
-	}
-	if !body.start() {
-		u.Close() // the request was given up or sent elsewhere
-		return errBodyTaken
-	}
-	defer body.markDone()
-	return copyBody(u, body)
-}
-
 // errUnsigned is returned for a success status without the target's signature,
 // which may come from another process.
 var errUnsigned = errors.New("the success response is not signed by the target")
@@ -97,30 +108,30 @@
 var errUnconfirmedRefusal = errors.New("the target does not state that it has not run the request")
 
 // handleResponse turns a response into the result of the attempt and records the
-// evidence about the target. complete means that the whole request was sent.
-func (d *delivery) handleResponse(u *hop.Conn, t *roster.Target, e *evidence.Target, r hop.Result, complete bool) attempt {
+// evidence about the target.
+func (d *delivery) handleResponse(c *hop.Exchange, t *roster.Target, e *evidence.Target, r hop.Result) attempt {
 	now := d.gateway.now()
 	if d.via == viaRelay {
-		if a, failed := d.relayFailed(u, t, e, &r); failed {
+		if a, failed := d.relayFailed(c, t, e, &r); failed {
 			return a
 		}
 	}
 	if r.Err != nil {
-		u.Abort()
+		c.Abort()
 		e.RecordFailure(now)
 		if errors.Is(r.Err, hop.ErrConnectionEnded) {
-			if u.Fresh() {
+			if c.Fresh() {
 				e.RecordUnreachable(now)
 			}
 			d.gateway.targetFailed(t)
 		}
 		return attempt{outcome: broken, err: r.Err}
 	}
-	if d.via == viaDirect && u.Fresh() {
+	if d.via == viaDirect && c.Fresh() {
 		d.gateway.targetReached() // an older connection may live on although new ones are refused
 	}
 	if r.Response.StatusCode < http.StatusMultipleChoices && !r.Answer.Signed {
-		u.Abort()
+		c.Abort()
 		e.RecordFailure(now)
 		return attempt{outcome: broken, err: errUnsigned}
 	}
@@ -129,8 +140,8 @@
 		e.RecordLoad(now, *r.Answer.Load)
 		d.gateway.reports.load(t.Name, *r.Answer.Load)
 	}
-	u.SetKeepAlive(r.Answer.KeepAlive)
-	a := d.readAnswer(u, t, e, r, complete)
+	c.SetKeepAlive(r.Answer.KeepAlive)
+	a := d.readAnswer(c, e, r)
 	if r.Answer.NotExecuted {
 		if a.reply != nil && a.reply.finish != nil {
 			a.reply.finish(false) // the rest of the body is not read
@@ -188,23 +199,19 @@
 
 // relayFailed reports whether the result comes from the relay itself rather than
 // from the target, and returns the result of the attempt if so.
-func (d *delivery) relayFailed(u *hop.Conn, t *roster.Target, e *evidence.Target, r *hop.Result) (a attempt, failed bool) {
+func (d *delivery) relayFailed(c *hop.Exchange, t *roster.Target, e *evidence.Target, r *hop.Result) (a attempt, failed bool) {
 	g := d.gateway
 	now := g.now()
 	if r.Err != nil {
-		u.Abort()
+		c.Abort()
 		return attempt{outcome: broken, err: r.Err, relayLost: true}, true
 	}
-	g.relays.answered(now, u.Address())
+	g.relays.answered(now, c.Address())
 	outcome := relay.Outcome(r.Response.Header.Get(relay.HeaderOutcome))
 	if outcome == "" {
 		return attempt{}, false
 	}
-	if r.Response.Close {
-		u.Abort() // a part of the request's body may still be on its way to the relay
-	} else {
-		g.pool.Put(u) // an answer of the relay itself has no body
-	}
+	g.pool.Release(c)
 	switch outcome {
 	case relay.Busy:
 		return attempt{outcome: notTaken}, true
--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -41,26 +41,31 @@
 // errPanic is returned when a response could not be processed.
 var errPanic = errors.New("panic while the response was read")
 
-// Conn is an HTTP/1.1 connection that carries one request at a time.
+// Conn is an HTTP/1.1 connection that carries one request at a time. It is in one of three
+// states:
+//
+//   - free: kept by a Pool, or taken from it. Begin makes it carry a request. Bytes that
+//     arrive end it.
+//   - carrying a request: only that request's Exchange may write, read and wait. Release
+//     makes the connection free if nothing of the request can follow on it, and ends it
+//     otherwise; Abort ends it.
+//   - ended: closed for good.
 type Conn struct {
 	to        Endpoint
 	conn      net.Conn
 	limiter   *HeadLimiter // limits the heads that reader reads from conn
 	reader    *bufio.Reader
+	codec     Codec
 	lastUsed  time.Duration // when the last request ended
 	keepAlive time.Duration // idle time after which the target closes the connection, 0 if unknown
 	fresh     bool          // no request was sent on the connection yet
+	onDead    func(*Conn)
 
-	mu      sync.Mutex
-	dead    bool
-	waiting chan<- Result // receives the response to the request in flight, nil while idle
-	request *http.Request
-	id      string
-	refused []string // ids of the requests that the target refused on the connection
-	codec   Codec
-	resume  chan bool     // tells readLoop that the response was read; false ends the connection
-	proceed chan struct{} // receives a value when the other side waits for the body
-	onDead  func(*Conn)
+	mu       sync.Mutex
+	dead     bool
+	exchange *Exchange // of the request that the connection carries, nil if it is free or ended
+	refused  []string  // ids of the requests that the target refused on the connection
+	resume   chan bool // tells readLoop that the exchange has ended; false ends the connection
 
 	writeMu  sync.Mutex // held during a write
 	writeErr error      // of the first write that failed
@@ -73,15 +78,13 @@
 	Err      error
 }
 
-// Expect registers a request that is about to be written and returns the channel
-// on which its result arrives. It returns false if the connection has ended, or if an
-// answer to the request could not be told from a copy of an earlier one; then Expect
-// ends the connection.
-func (u *Conn) Expect(request *http.Request, id string) (<-chan Result, bool) {
-	ch := make(chan Result, 1)
+// Begin makes the connection carry a request that is about to be written. It returns false
+// if the connection has ended, or if an answer to the request could not be told from a copy
+// of an earlier one; then Begin ends the connection.
+func (u *Conn) Begin(request *http.Request, id string) (*Exchange, bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.dead {
+	if u.dead || u.exchange != nil {
 		return nil, false
 	}
 	if id == "" && !u.fresh || slices.Contains(u.refused, id) {
@@ -89,32 +92,15 @@
 		_ = u.conn.Close() // stops readLoop
 		return nil, false
 	}
-	u.waiting, u.request, u.id = ch, request, id
-	select {
-	case <-u.proceed: // of an earlier request
-	default:
-	}
-	return ch, true
+	u.exchange = &Exchange{conn: u, request: request, id: id, fresh: u.fresh, results: make(chan Result, 1), asked: make(chan struct{}, 1)}
+	return u.exchange, true
 }
 
-// Continue returns a channel that receives a value once the other side has answered 100 to
-// the request in flight, so that it waits for the body.
-func (u *Conn) Continue() <-chan struct{} { return u.proceed }
-
 // usable reports whether the connection can carry another request.
 func (u *Conn) usable() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return !u.dead && len(u.refused) < maxRefusals
-}
-
-// Abort ends a connection whose response was not read in full.
-func (u *Conn) Abort() {
-	u.Close()
-	select {
-	case u.resume <- false:
-	default:
-	}
+	return !u.dead && u.exchange == nil
 }
 
 // Close ends the connection.
@@ -124,16 +110,3 @@
 	u.mu.Unlock()
 	_ = u.conn.Close()
 }
-
-// Address returns the address that the connection was opened to.
-func (u *Conn) Address() string { return u.to.Address }
-
-// Fresh reports whether no earlier request was sent on the connection.
-func (u *Conn) Fresh() bool { return u.fresh }
-
-// SetKeepAlive sets the idle time after which the target closes the connection.
-func (u *Conn) SetKeepAlive(d time.Duration) { u.keepAlive = d }
-
-// SetWriteDeadline limits later writes. Its error is ignored: if the connection
-// has ended, the next write fails.
-func (u *Conn) SetWriteDeadline(t time.Time) { _ = u.conn.SetWriteDeadline(t) }
--- a/internal/hop/endless_test.go
+++ b/internal/hop/endless_test.go
@@ -30,11 +30,11 @@
 				t.Fatal(err)
 			}
 			defer u.Close()
-			responses, _ := u.Expect(&http.Request{Method: "GET"}, "1")
-			if _, err := io.WriteString(u, "GET / HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\n"); err != nil {
+			e, _ := u.Begin(&http.Request{Method: "GET"}, "1")
+			if _, err := io.WriteString(e, "GET / HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\n"); err != nil {
 				t.Fatal(err)
 			}
-			r := <-responses
+			r := <-e.Results()
 			if r.Err == nil {
 				t.Fatalf("endless head was accepted as response %v, want an error", r.Response)
 			}
--- a/internal/hop/pool.go
+++ b/internal/hop/pool.go
@@ -99,23 +99,39 @@
 	return u, nil
 }
 
-// Put returns a connection to the pool. Its last response must have been read in
-// full.
-func (p *Pool) Put(u *Conn) {
-	u.lastUsed, u.fresh = p.now(), false
-	u.resume <- true
-	if !u.usable() {
+// Release ends an exchange. Its connection returns to the pool if the request was written
+// and its response read, both to the end, and is closed otherwise.
+func (p *Pool) Release(e *Exchange) {
+	u := e.conn
+	if !u.writeMu.TryLock() {
+		e.Abort() // a part of the request is still being written
+		return
+	}
+	defer u.writeMu.Unlock()
+	clean, ended := e.end(true)
+	if !ended {
+		return
+	}
+	if !clean || !p.keep(u, e.keepAlive) {
 		u.Close()
 		return
 	}
+	if !u.usable() {
+		p.remove(u) // it has ended, or carries a request and is no longer in the pool
+	}
+}
+
+// keep adds a free connection unless the pool is full.
+func (p *Pool) keep(u *Conn, keepAlive time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.count >= p.maxIdle {
-		go u.Close()
-		return
+		return false
 	}
+	u.lastUsed, u.keepAlive = p.now(), keepAlive
 	p.idle[u.to] = append(p.idle[u.to], u)
 	p.count++
+	return true
 }
 
 // Forget closes all idle connections to an endpoint.
--- a/internal/hop/pool_test.go
+++ b/internal/hop/pool_test.go
@@ -27,23 +27,24 @@
 	}).Address()
 }
 
-// roundTrip opens a connection, sends a request on it and returns the connection once
-// the response has arrived.
-func roundTrip(t *testing.T, p *Pool, to Endpoint) *Conn {
+// roundTrip opens a connection, sends a request on it and returns its exchange once the
+// response has arrived.
+func roundTrip(t *testing.T, p *Pool, to Endpoint) *Exchange {
 	t.Helper()
 	u, err := p.Dial(to, time.Second)
 	if err != nil {
 		t.Fatal(err)
 	}
-	responses, ok := u.Expect(&http.Request{Method: "GET"}, "1")
+	e, ok := u.Begin(&http.Request{Method: "GET"}, "1")
 	if !ok {
 		t.Fatal("a new connection reports that it has ended")
 	}
-	fmt.Fprint(u, "GET / HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\n")
-	if r := <-responses; r.Err != nil {
+	fmt.Fprint(e, "GET / HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\n")
+	e.MarkSent()
+	if r := <-e.Results(); r.Err != nil {
 		t.Fatal(r.Err)
 	}
-	return u
+	return e
 }
 
 // Unlimited idle connections would exhaust the file descriptors of the process. The
@@ -53,10 +54,10 @@
 	p := NewPool(plainCodec{}, func() time.Duration { return now }, 3)
 	ends := []Endpoint{{Address: listen(t)}, {Address: listen(t)}}
 	for i := range 5 {
-		p.Put(roundTrip(t, p, ends[i%2]))
+		p.Release(roundTrip(t, p, ends[i%2]))
 	}
 	if p.Size() != 3 {
-		t.Errorf("%d idle connections after five Puts, want 3", p.Size())
+		t.Errorf("%d idle connections after five requests, want 3", p.Size())
 	}
 	if u := p.Get(ends[0], true); u == nil || p.Size() != 2 {
 		t.Errorf("Get returned connection %v with %d left in the pool, want one with 2 left", u, p.Size())
@@ -77,12 +78,12 @@
 func TestPoolForgetsAnEndpoint(t *testing.T) {
 	p := NewPool(plainCodec{}, func() time.Duration { return 0 }, 10)
 	gone, other := Endpoint{Address: listen(t)}, Endpoint{Address: listen(t)}
-	kept := []*Conn{roundTrip(t, p, gone), roundTrip(t, p, gone), roundTrip(t, p, other)}
-	for _, u := range kept {
-		p.Put(u)
+	kept := []*Exchange{roundTrip(t, p, gone), roundTrip(t, p, gone), roundTrip(t, p, other)}
+	for _, e := range kept {
+		p.Release(e)
 	}
 	p.Forget(gone)
-	if p.Size() != 1 || p.Get(gone, true) != nil || p.Get(other, true) != kept[2] || p.Size() != 0 {
+	if p.Size() != 1 || p.Get(gone, true) != nil || p.Get(other, true) != kept[2].conn || p.Size() != 0 {
 		t.Errorf("Forget dropped the wrong connections or the count is wrong: %d idle at the end", p.Size())
 	}
 }
@@ -92,12 +93,12 @@
 	p := NewPool(plainCodec{}, func() time.Duration { return 0 }, 10)
 	first := Endpoint{Address: listen(t), Start: 1}
 	second := Endpoint{Address: first.Address, Start: 2}
-	u := roundTrip(t, p, first)
-	p.Put(u)
+	e := roundTrip(t, p, first)
+	p.Release(e)
 	if p.Get(second, true) != nil {
 		t.Error("Get for the second start returned a connection to the first")
 	}
-	if p.Get(first, true) != u {
+	if p.Get(first, true) != e.conn {
 		t.Error("Get for the first start did not return its idle connection")
 	}
 }
--- a/internal/hop/read.go
+++ b/internal/hop/read.go
@@ -6,45 +6,42 @@
 	"net/http"
 )
 
-// readLoop reads responses and delivers them to the waiting request. Bytes that
-// arrive while no request is in flight belong to no request and end the connection.
+// readLoop reads responses and delivers them to the exchange of the request. Bytes that
+// arrive while the connection is free belong to no request and end it.
 func (u *Conn) readLoop() {
 	for {
 		_, err := u.reader.Peek(1)
-		u.mu.Lock()
-		waiting, request, id := u.waiting, u.request, u.id
-		if err != nil || waiting == nil {
-			u.dead = true
-			u.waiting = nil
-			u.mu.Unlock()
+		e := u.carried(err)
+		if e == nil || err != nil {
 			_ = u.conn.Close()
 			if u.onDead != nil {
 				u.onDead(u)
 			}
-			if waiting != nil {
-				waiting <- Result{Err: fmt.Errorf("%w: %w", ErrConnectionEnded, err)}
+			if e != nil {
+				e.deliver(Result{Err: fmt.Errorf("%w: %w", ErrConnectionEnded, err)})
 			}
 			return
 		}
-		u.mu.Unlock()
-		r := u.readResponse(request, id)
-		u.mu.Lock()
-		u.waiting = nil
-		if r.Err == nil && r.Answer.NotExecuted {
-			u.refused = append(u.refused, id)
-		}
-		u.mu.Unlock()
-		waiting <- r
-		if r.Err != nil || !<-u.resume {
+		r := u.readResponse(e)
+		if !e.deliver(r) || !<-u.resume {
 			u.Close()
 			return
 		}
 	}
 }
 
+// carried returns the exchange of the request that the connection carries, nil if there is
+// none. Without one, or with an error, the connection ends.
+func (u *Conn) carried(err error) *Exchange {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.dead = u.dead || u.exchange == nil || err != nil
+	return u.exchange
+}
+
 // readResponse reads the response to a request. It skips informational responses
 // and late responses to earlier requests.
-func (u *Conn) readResponse(request *http.Request, id string) (result Result) {
+func (u *Conn) readResponse(e *Exchange) (result Result) {
 	defer func() {
 		if value := recover(); value != nil {
 			// One odd response must not end the process with all other requests.
@@ -52,16 +49,18 @@
 		}
 	}()
 	for range maxSkippedResponses {
-		response, err := u.readHead(request)
+		response, err := u.readHead(e.request)
 		if err != nil {
 			return Result{Err: err}
 		}
 		if response.StatusCode < 200 {
-			u.handleInformational(response.StatusCode)
+			if response.StatusCode == http.StatusContinue {
+				e.askForBody()
+			}
 			continue
 		}
 		answer := u.codec.Answer(response.StatusCode, response.Header)
-		if u.belongs(answer, id) {
+		if e.belongs(answer) {
 			return Result{Response: response, Answer: answer}
 		}
 		response.Close = true
@@ -78,15 +77,15 @@
 	return Result{Err: ErrWrongAnswer}
 }
 
-// belongs reports whether an answer belongs to the request in flight. A target may
-// write an answer more than once, also when the connection is in use again. Without
-// an id the answer can only be tied to the first request on a connection, and with an
-// id of the request itself it must be a refusal.
-func (u *Conn) belongs(answer Answer, id string) bool {
+// belongs reports whether an answer belongs to the request. A target may write an answer
+// more than once, also when the connection is in use again. Without an id the answer can
+// only be tied to the first request on a connection, and with an id of the request itself it
+// must be a refusal.
+func (e *Exchange) belongs(answer Answer) bool {
 	if answer.ID != "" {
-		return answer.ID == id
+		return answer.ID == e.id
 	}
-	return u.fresh && (id == "" || answer.NotExecuted)
+	return e.fresh && (e.id == "" || answer.NotExecuted)
 }
 
 // readHead reads the head of a response; its body stays unread.
@@ -105,14 +104,3 @@
 	}
 	return response, nil
 }
-
-// handleInformational acts on the status of an informational response.
-func (u *Conn) handleInformational(status int) {
-	if status != http.StatusContinue {
-		return
-	}
-	select {
-	case u.proceed <- struct{}{}:
-	default:
-	}
-}
--- a/internal/hop/refusal_test.go
+++ b/internal/hop/refusal_test.go
@@ -117,22 +117,23 @@
 	}
 	defer u.Close()
 	for i, id := range ids {
-		responses, ok := u.Expect(&http.Request{Method: "GET"}, id)
+		e, ok := u.Begin(&http.Request{Method: "GET"}, id)
 		if !ok {
 			return Result{Err: errNotSent}
 		}
-		w := bufio.NewWriter(u)
+		w := bufio.NewWriter(e)
 		fmt.Fprintf(w, "GET / HTTP/1.1\r\nHost: h\r\nId: %s\r\n\r\n", id)
 		if err := w.Flush(); err != nil {
 			t.Fatal(err)
 		}
+		e.MarkSent()
 		select {
-		case last = <-responses:
+		case last = <-e.Results():
 		case <-time.After(resultTimeout):
 			return Result{Err: errNoResult}
 		}
 		if last.Err == nil && i < len(ids)-1 {
-			p.Put(u)
+			p.Release(e)
 		}
 	}
 	return last
--- a/internal/hop/reset_test.go
+++ b/internal/hop/reset_test.go
@@ -61,12 +61,12 @@
 			u := newConn(Endpoint{}, conn)
 			u.codec = plainCodec{}
 			go u.readLoop()
-			results, ok := u.Expect(&http.Request{Method: http.MethodPost}, id)
+			e, ok := u.Begin(&http.Request{Method: http.MethodPost}, id)
 			if !ok {
 				t.Fatal("the connection takes no request")
 			}
-			_, _ = u.Write(make([]byte, 100)) // its error is the matter of the test
-			r := <-results
+			_, _ = e.Write(make([]byte, 100)) // its error is the matter of the test
+			r := <-e.Results()
 			if r.Err != nil {
 				t.Fatal(r.Err)
 			}
@@ -77,7 +77,7 @@
 			if !x.whole && !errors.Is(err, syscall.ECONNRESET) {
 				t.Errorf("the error %v does not name the reset", err)
 			}
-			u.Abort()
+			e.Abort()
 		})
 	}
 }
@@ -91,16 +91,16 @@
 	u := newConn(Endpoint{}, conn)
 	u.codec = plainCodec{}
 	go u.readLoop()
-	results, _ := u.Expect(&http.Request{Method: http.MethodPost}, "7")
-	go func() { _, _ = u.Write(make([]byte, 100)) }()
-	r := <-results
+	e, _ := u.Begin(&http.Request{Method: http.MethodPost}, "7")
+	go func() { _, _ = e.Write(make([]byte, 100)) }()
+	r := <-e.Results()
 	if r.Err != nil {
 		t.Fatal(r.Err)
 	}
 	if body, err := io.ReadAll(r.Response.Body); err == nil {
 		t.Errorf("body %q was taken for a whole one", body)
 	}
-	u.Abort()
+	e.Abort()
 }
 
 // slowWriteConn is a resetConn whose write returns its error some time after the end of the
--- a/internal/hop/status_test.go
+++ b/internal/hop/status_test.go
@@ -23,15 +23,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(u.Abort)
-	responses, ok := u.Expect(&http.Request{Method: "GET"}, "1")
+	t.Cleanup(u.Close)
+	e, ok := u.Begin(&http.Request{Method: "GET"}, "1")
 	if !ok {
 		t.Fatal("the connection takes no request")
 	}
-	if _, err := io.WriteString(u, "GET / HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\n"); err != nil {
+	if _, err := io.WriteString(e, "GET / HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\n"); err != nil {
 		t.Fatal(err)
 	}
-	return <-responses
+	return <-e.Results()
 }
 
 // Guards against an answer with a status that does not exist: it reached the caller on
--- a/internal/hop/unframed.go
+++ b/internal/hop/unframed.go
@@ -27,7 +27,7 @@
 
 // isUnframed reports whether the body of a response ends with the connection.
 func isUnframed(r *http.Response) bool {
-	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Body != http.NoBody
 }
 
 // writeError waits for a write in progress and returns the error of the first write that
@@ -37,14 +37,3 @@
 	defer u.writeMu.Unlock()
 	return u.writeErr
 }
-
-// Write sends bytes of a request.
-func (u *Conn) Write(p []byte) (int, error) {
-	u.writeMu.Lock()
-	defer u.writeMu.Unlock()
-	n, err := u.conn.Write(p)
-	if err != nil && u.writeErr == nil {
-		u.writeErr = err
-	}
-	return n, err
-}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -6,7 +6,6 @@
 	"errors"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -17,18 +16,17 @@
 
 // exchange is a request of an entry host together with its response.
 type exchange struct {
-	session     *session
-	request     *http.Request
-	body        []byte
-	upload      *upload // nil if body is the whole body
-	call        hop.Call
-	target      string
-	to          hop.Endpoint // address of the target; Start is set once Config.Find has confirmed it
-	repeatable  bool
-	rate        float64       // rate of the entry host's link in bytes per second, 0 if unknown
-	bulk        bool          // the response yields to other responses to the entry host
-	received    time.Duration // when the request arrived, on the server's clock
-	requestSent atomic.Bool   // the whole request was written to the target
+	session    *session
+	request    *http.Request
+	body       []byte
+	upload     *upload // nil if body is the whole body
+	call       hop.Call
+	target     string
+	to         hop.Endpoint // address of the target; Start is set once Config.Find has confirmed it
+	repeatable bool
+	rate       float64       // rate of the entry host's link in bytes per second, 0 if unknown
+	bulk       bool          // the response yields to other responses to the entry host
+	received   time.Duration // when the request arrived, on the server's clock
 }
 
 func newExchange(s *session, request *http.Request, body []byte) *exchange {
@@ -80,25 +78,25 @@
 	if err != nil {
 		return x.reportFailure(outcome, err)
 	}
-	stop := context.AfterFunc(ctx, u.Close)
-	defer stop()
-	r, outcome := x.send(ctx, u)
+	forwarded := x.forwarded()
+	c, ok := u.Begin(forwarded, x.call.ID)
+	if !ok {
+		return x.reportFailure(Unreached, hop.ErrConnectionEnded)
+	}
+	defer context.AfterFunc(ctx, c.Close)()
+	r, outcome := x.send(ctx, c, forwarded)
 	if r.Err != nil {
-		u.Abort()
+		c.Abort()
 		return x.reportFailure(outcome, r.Err)
 	}
 	x.observe(&r.Answer)
 	if err := x.relayResponse(ctx, r.Response); err != nil {
-		u.Abort()
+		c.Abort()
 		x.log("relayed answer broke off", err)
 		return false
 	}
-	u.SetKeepAlive(r.Answer.KeepAlive)
-	if stop() && x.requestSent.Load() && !r.Response.Close {
-		s.pool.Put(u)
-	} else {
-		u.Abort()
-	}
+	c.SetKeepAlive(r.Answer.KeepAlive)
+	s.pool.Release(c)
 	return x.session.writer.Flush() == nil
 }
 
@@ -156,21 +154,22 @@
 	return nil, Unreached, err
 }
 
-// send writes the request and waits for the head of the response.
-func (x *exchange) send(ctx context.Context, u *hop.Conn) (hop.Result, Outcome) {
-	forwarded := &http.Request{Method: x.request.Method, URL: x.request.URL, RequestURI: x.request.RequestURI,
+// forwarded returns the request as it is sent to the target.
+func (x *exchange) forwarded() *http.Request {
+	r := &http.Request{Method: x.request.Method, URL: x.request.URL, RequestURI: x.request.RequestURI,
 		Host: x.request.Host, Header: hop.EndToEndHeaders(x.request.Header)}
-	Strip(forwarded.Header)
-	x.session.server.config.Codec.Forward(forwarded.Header, x.timeLeft(), x.target)
-	responses, ok := u.Expect(forwarded, x.call.ID)
-	if !ok {
-		return hop.Result{Err: hop.ErrConnectionEnded}, Unreached
-	}
-	if err := x.write(u, forwarded); err != nil {
+	Strip(r.Header)
+	x.session.server.config.Codec.Forward(r.Header, x.timeLeft(), x.target)
+	return r
+}
+
+// send writes the request and waits for the head of the response.
+func (x *exchange) send(ctx context.Context, c *hop.Exchange, forwarded *http.Request) (hop.Result, Outcome) {
+	if err := x.write(c, forwarded); err != nil {
 		return hop.Result{Err: err}, Unreached
 	}
 	select {
-	case r := <-responses:
+	case r := <-c.Results():
 		if errors.Is(r.Err, syscall.ETIMEDOUT) {
 			// The host has not acknowledged the request. Requests sent on other idle
 			// connections to it would be lost as well.
@@ -187,7 +186,7 @@
 // write writes the request to the target, with a body that is streamed in the background.
 // An error means that nothing was written; a failed write ends the connection, and its read
 // loop reports that.
-func (x *exchange) write(u *hop.Conn, r *http.Request) error {
+func (x *exchange) write(c *hop.Exchange, r *http.Request) error {
 	length := int64(len(x.body))
 	if x.upload != nil {
 		length = x.upload.length
@@ -196,18 +195,19 @@
 	if err := hop.WriteHead(&b, r, length); err != nil {
 		return err
 	}
-	u.SetWriteDeadline(time.Now().Add(x.timeLeft()))
+	c.SetWriteDeadline(time.Now().Add(x.timeLeft()))
 	if x.upload == nil {
 		b.Write(x.body)
-		_, err := u.Write(b.Bytes())
-		x.requestSent.Store(err == nil)
+		if _, err := c.Write(b.Bytes()); err == nil {
+			c.MarkSent()
+		}
 		return nil
 	}
 	if err := x.upload.sendContinue(); err != nil {
 		return err
 	}
-	if _, err := u.Write(b.Bytes()); err == nil {
-		go x.upload.copyTo(u, func() { x.requestSent.Store(true) })
+	if _, err := c.Write(b.Bytes()); err == nil {
+		go x.upload.copyTo(c)
 	}
 	return nil
 }
--- a/internal/relay/upload.go
+++ b/internal/relay/upload.go
@@ -36,13 +36,13 @@
 	return u.session.writer.Flush()
 }
 
-// copyTo streams the body to the target and then waits until the entry host closes the
-// connection. sent is called once the whole body was written.
-func (u *upload) copyTo(target *hop.Conn, sent func()) {
+// copyTo streams the body to the target and then waits until the entry host closes its
+// connection to the relay, which carries no further request.
+func (u *upload) copyTo(target *hop.Exchange) {
 	body := &watchedReader{reader: u.body}
 	err := hop.CopyBody(target, body, u.length)
 	if err == nil {
-		sent()
+		target.MarkSent()
 		_, body.err = u.session.reader.Peek(1) // nothing more is expected
 	}
 	if body.err != nil && body.err != io.EOF || err == nil {
