Hand over the map of lost connections under its lock

Callers saw: nothing yet; Go ends a process in which a map is written to while it is ranged over.

Cause: targetReached ranged over reach.lost after unlocking, and had replaced the map only if it held something, so that with an empty one reportLost wrote to the same map.

Fix: takeLost returns a map that belongs to the caller, or none. The other maps that leave their lock in this package are copies, by reading.

--- a/internal/gateway/cut_off.go
+++ b/internal/gateway/cut_off.go
@@ -23,6 +23,17 @@
 
 func newReach() *reach { return &reach{detector: partition.New(), lost: map[string]int{}} }
 
+// takeLost returns the connections that were lost and begins to count anew, so that the map
+// it returns belongs to the caller. The caller holds mu.
+func (r *reach) takeLost() map[string]int {
+	if len(r.lost) == 0 {
+		return nil
+	}
+	lost := r.lost
+	r.lost = map[string]int{}
+	return lost
+}
+
 // isCut reports whether this host is cut off from all targets.
 func (r *reach) isCut() bool {
 	r.mu.Lock()
@@ -55,10 +66,7 @@
 	g.reach.mu.Lock()
 	since, failed := g.reach.detector.Since()
 	change := g.reach.detector.Reached()
-	lost := g.reach.lost
-	if len(lost) > 0 {
-		g.reach.lost = map[string]int{}
-	}
+	lost := g.reach.takeLost()
 	g.reach.mu.Unlock()
 	for target, n := range lost {
 		for range n {
--- a/internal/gateway/cut_off_test.go
+++ b/internal/gateway/cut_off_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -199,3 +200,30 @@
 		}
 	}
 }
+
+// Guards against a map that is read while another request writes to it, which ends the
+// process: requests lose connections to targets while others reach targets.
+func TestLossesWhileTargetsAreReached(t *testing.T) {
+	const requests, losses = 8, 500
+	f := newFixture(t, ok)
+	f.gateway.reports.take("c")
+	var wg sync.WaitGroup
+	for range requests {
+		wg.Go(func() {
+			for range losses {
+				f.gateway.reportLost("t0")
+			}
+		})
+		wg.Go(func() {
+			for range losses {
+				f.gateway.targetReached()
+			}
+		})
+	}
+	wg.Wait()
+	f.gateway.targetReached()
+	reports := f.gateway.reports.take("c")
+	if len(reports) != 1 || int(reports[0].Bad) != requests*losses {
+		t.Errorf("reported %+v, want %d losses of one target", reports, requests*losses)
+	}
+}
