Check the bytes of a response's head before they are parsed

Cause: net/http takes 'HTTP/1.1 503 Service UnavaHTTP/1.1 200 OK' for a status line with an odd reason phrase. The checks looked at the parsed head, where the second status line no longer shows.

Fix: HeadChecker checks the bytes by the grammar of RFC 9112 first: status line, CRLF, control bytes, names, no second status line inside a head, framing fields that agree, deciding fields (the codec names them) once and on one line. Conn.readHead is the one reader for targets and relays; HeadStream checks them for net/http's transport in internal/entry. An unsound head has an unknown outcome, a HeadError with the first bytes, the connection's age and its answers before, and two counters.

Stricter than RFC 9112 and RFC 9110 ask: equal lengths and lines that end without CR are refused, too.

--- a/internal/entry/broken_answer_test.go
+++ b/internal/entry/broken_answer_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -75,3 +76,46 @@
 		})
 	}
 }
+
+// Guards against a caller that is told "not run", or another status than its target's, since
+// the start of an earlier answer stands before the answer (review case 12).
+func TestStartOfAnEarlierAnswerBeforeTheNext(t *testing.T) {
+	const earlier = "HTTP/1.1 503 Service Unavailable\r\nHornbeam-Shed: not-run\r\nContent-Length: 0\r\n\r\n"
+	const next = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	for length := 1; length < len(earlier); length++ {
+		Convey("the start "+strconv.Quote(earlier[:length])+" is no part of an answer", t, func() {
+			address := rawTarget(t, func(n int, conn net.Conn, _ *http.Request) bool {
+				text := next
+				if n == 1 {
+					text = earlier[:length] + next
+				}
+				_, err := io.WriteString(conn, text)
+				return err == nil
+			})
+			h := startHost(t, []string{address})
+			So(h.do("POST", "/s/bookings/x", "", "").status, ShouldEqual, http.StatusOK)
+			So(h.do("POST", "/s/bookings/y", "", "").status, ShouldEqual, http.StatusBadGateway)
+		})
+	}
+}
+
+// Guards against a sound answer that is refused since a head arrives in parts, behind an
+// informational one, or with a body right behind it.
+func TestAnswersInParts(t *testing.T) {
+	Convey("an answer whose bytes arrive one by one is passed on", t, func() {
+		address := rawTarget(t, func(_ int, conn net.Conn, _ *http.Request) bool {
+			for _, c := range []byte("HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 17\r\n\r\nHTTP/1.1 404 No\n\n") {
+				if _, err := conn.Write([]byte{c}); err != nil {
+					return false
+				}
+			}
+			return true
+		})
+		h := startHost(t, []string{address})
+		for range 3 {
+			got := h.do("POST", "/s/bookings/x", "", "")
+			So(got.status, ShouldEqual, http.StatusOK)
+			So(string(got.body), ShouldEqual, "HTTP/1.1 404 No\n\n")
+		}
+	})
+}
--- a/internal/entry/target_conn.go
+++ b/internal/entry/target_conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync"
 
+	"github.com/hornbeamstack/hornbeamstack/internal/hop"
 	"github.com/hornbeamstack/hornbeamstack/pkg/traffic"
 )
 
@@ -24,6 +25,7 @@
 	linkLimiter *linkLimiter // nil for targets of the host's own region
 
 	mu              sync.Mutex
+	heads           hop.HeadStream
 	usable          func() bool // reports whether the permit of the current attempt is valid
 	started         bool        // a byte of the current attempt was handed to the kernel
 	sealed          error       // error of all further writes; nil while they are allowed
@@ -38,6 +40,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.usable, c.started, c.receivedAtBegin = usable, false, c.received
+	c.heads.Expect()
 }
 
 // seal makes all further writes fail, closes the connection and reports whether
@@ -140,8 +143,11 @@
 		c.linkLimiter.consume(n)
 	}
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.received += int64(n)
-	c.mu.Unlock()
+	if headErr := c.heads.Add(p[:n]); headErr != nil {
+		return 0, headErr
+	}
 	return n, err
 }
 
@@ -152,3 +158,11 @@
 	}
 	return c.Conn.Close()
 }
+
+// singleHeaders are the headers that decide what a target's answer is.
+var singleHeaders = []string{HeaderAttempt, HeaderShed}
+
+// newTargetConn returns a connection to a target. limiter is nil within the own region.
+func newTargetConn(conn net.Conn, limiter *linkLimiter) *targetConn {
+	return &targetConn{Conn: conn, linkLimiter: limiter, heads: hop.HeadStream{Checker: hop.HeadChecker{Single: singleHeaders}}}
+}
--- a/internal/entry/upstream.go
+++ b/internal/entry/upstream.go
@@ -118,7 +118,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &targetConn{Conn: conn}, nil
+			return newTargetConn(conn, nil), nil
 		}
 	}
 	d.Control = boundReceiveBuffer
@@ -135,7 +135,7 @@
 			limiter.cancel()
 			return nil, err
 		}
-		return &targetConn{Conn: conn, linkLimiter: limiter}, nil
+		return newTargetConn(conn, limiter), nil
 	}
 }
 
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -51,6 +51,10 @@
 		Leaving: h.Get("Leaving") != "", RetryAfter: time.Duration(pause) * time.Millisecond}
 }
 
+func (fakeCodec) AnswerHeaders() []string {
+	return []string{"Id", "Unsigned", "Not-Run", "Leaving", "Pause"}
+}
+
 func (fakeCodec) Refuse(h http.Header, pause time.Duration) {
 	h.Set("Retry-After", fmt.Sprint(pause.Seconds()))
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -76,9 +76,6 @@
 	for {
 		select {
 		case <-c.Asked():
-			if d.via != viaRelay || x.body.rest == nil {
-				continue
-			}
 			if !x.body.start() {
 				c.Abort()
 				return attempt{outcome: broken, err: errBodyTaken, relayLost: true}
@@ -111,6 +108,10 @@
 // evidence about the target.
 func (d *delivery) handleResponse(c *hop.Exchange, t *roster.Target, e *evidence.Target, r hop.Result) attempt {
 	now := d.gateway.now()
+	var unsound *hop.HeadError
+	if errors.As(r.Err, &unsound) {
+		d.gateway.meters.count("answer.unsound_head")
+	}
 	if d.via == viaRelay {
 		if a, failed := d.relayFailed(c, t, e, &r); failed {
 			return a
@@ -190,6 +191,9 @@
 // errRelay is returned when the relay reports that it has no answer from the target.
 var errRelay = errors.New("the relay got no answer from the target")
 
+// errOutcomes is returned for an answer of a relay with more than one outcome.
+var errOutcomes = errors.New("the relay's answer has several outcomes")
+
 // errLeaving and errPaused are returned when the relay has sent nothing because the
 // target is about to exit, or wants no requests from the relay for some time.
 var (
@@ -207,6 +211,10 @@
 		return attempt{outcome: broken, err: r.Err, relayLost: true}, true
 	}
 	g.relays.answered(now, c.Address())
+	if len(r.Response.Header.Values(relay.HeaderOutcome)) > 1 {
+		c.Abort()
+		return attempt{outcome: broken, err: errOutcomes, relayLost: true}, true
+	}
 	outcome := relay.Outcome(r.Response.Header.Get(relay.HeaderOutcome))
 	if outcome == "" {
 		return attempt{}, false
--- a/internal/hop/codec.go
+++ b/internal/hop/codec.go
@@ -36,6 +36,9 @@
 	Forward(h http.Header, left time.Duration, target string)
 	// Answer parses the status and headers of a response.
 	Answer(status int, h http.Header) Answer
+	// AnswerHeaders returns the names of the headers that decide what an answer is. A
+	// response has each of them at most once.
+	AnswerHeaders() []string
 	// Refuse sets the headers of a refusal that asks the caller to retry after a
 	// pause.
 	Refuse(h http.Header, pause time.Duration)
--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -56,6 +56,9 @@
 	limiter   *HeadLimiter // limits the heads that reader reads from conn
 	reader    *bufio.Reader
 	codec     Codec
+	heads     HeadChecker
+	opened    time.Time
+	answers   int           // answers that the connection has carried; used only by readLoop
 	lastUsed  time.Duration // when the last request ended
 	keepAlive time.Duration // idle time after which the target closes the connection, 0 if unknown
 	fresh     bool          // no request was sent on the connection yet
@@ -92,7 +95,7 @@
 		_ = u.conn.Close() // stops readLoop
 		return nil, false
 	}
-	u.exchange = &Exchange{conn: u, request: request, id: id, fresh: u.fresh, results: make(chan Result, 1), asked: make(chan struct{}, 1)}
+	u.exchange = &Exchange{conn: u, request: request, id: id, fresh: u.fresh, results: make(chan Result, 1)}
 	return u.exchange, true
 }
 
--- a/internal/hop/exchange.go
+++ b/internal/hop/exchange.go
@@ -20,7 +20,8 @@
 	id        string
 	fresh     bool
 	results   chan Result
-	asked     chan struct{}
+	asked     chan struct{} // set by HoldBody
+	body      exchangeBody  // of the response
 	keepAlive time.Duration
 
 	// The fields below are guarded by conn.mu.
@@ -36,8 +37,8 @@
 // Results returns the channel on which the response or its error arrives, once.
 func (e *Exchange) Results() <-chan Result { return e.results }
 
-// Asked returns a channel that receives a value when the other side answers 100, by which
-// it asks for the body.
+// Asked returns a channel that receives a value when the other side asks for the body that
+// HoldBody has announced.
 func (e *Exchange) Asked() <-chan struct{} { return e.asked }
 
 // Fresh reports whether no earlier request was sent on the connection.
@@ -76,11 +77,12 @@
 }
 
 // HoldBody records that the body of the request is written only if the other side asks for
-// it. A response without that leaves the connection free of the request.
+// it, with status 100. A response without that leaves the connection free of the request.
+// Call it before the head of the request is written.
 func (e *Exchange) HoldBody() {
 	e.conn.mu.Lock()
 	defer e.conn.mu.Unlock()
-	e.held = true
+	e.held, e.asked = true, make(chan struct{}, 1)
 }
 
 // Close ends the connection if it still belongs to the request, which then ends with an
@@ -136,8 +138,10 @@
 		return false
 	}
 	if r.Err == nil {
+		u.answers++
 		e.answered, e.last, e.read = true, r.Response.Close, r.Response.Body == http.NoBody
-		r.Response.Body = &exchangeBody{ReadCloser: r.Response.Body, exchange: e}
+		e.body = exchangeBody{ReadCloser: r.Response.Body, exchange: e}
+		r.Response.Body = &e.body
 		if r.Answer.NotExecuted {
 			u.refused = append(u.refused, e.id)
 		}
--- a/internal/hop/head.go
+++ b/internal/hop/head.go
@@ -23,8 +23,12 @@
 	if r.ProtoMajor != 1 {
 		return fmt.Errorf("%w: version %.20q", ErrMalformedHead, r.Proto)
 	}
-	if r.StatusCode < minStatus || r.StatusCode > maxStatus || r.StatusCode == http.StatusSwitchingProtocols {
-		return fmt.Errorf("%w: status %03d", ErrMalformedHead, r.StatusCode)
+	return checkStatusCode(r.StatusCode)
+}
+
+func checkStatusCode(code int) error {
+	if code < minStatus || code > maxStatus || code == http.StatusSwitchingProtocols {
+		return fmt.Errorf("%w: status %03d", ErrMalformedHead, code)
 	}
 	return nil
 }
@@ -44,13 +48,30 @@
 // tokenBytes are the bytes of a token (RFC 9110 section 5.6.2) besides letters and digits.
 const tokenBytes = "!#$%&'*+-.^_`|~"
 
+// isTokenByte tells which bytes a token may hold.
+var isTokenByte = func() (table [256]bool) {
+	for c := range 256 {
+		letter := 'a' <= c|0x20 && c|0x20 <= 'z'
+		digit := '0' <= c && c <= '9'
+		table[c] = letter || digit || strings.IndexByte(tokenBytes, byte(c)) >= 0
+	}
+	return table
+}()
+
 func isToken(name string) bool {
 	for i := range len(name) {
-		c := name[i]
-		letter := 'a' <= c|0x20 && c|0x20 <= 'z'
-		if !letter && (c < '0' || c > '9') && strings.IndexByte(tokenBytes, c) < 0 {
+		if !isTokenByte[name[i]] {
 			return false
 		}
 	}
 	return name != ""
 }
+
+func isTokenBytes(name []byte) bool {
+	for _, c := range name {
+		if !isTokenByte[c] {
+			return false
+		}
+	}
+	return len(name) > 0
+}
--- a/internal/hop/pool.go
+++ b/internal/hop/pool.go
@@ -28,8 +28,9 @@
 // Pool keeps idle connections to targets and relays for reuse. It is safe for
 // concurrent use.
 type Pool struct {
-	codec Codec
-	now   func() time.Duration
+	codec  Codec
+	single []string // names of the headers that a response may have once
+	now    func() time.Duration
 
 	maxIdle int          // limit of idle connections in total
 	local   *net.TCPAddr // source of connections, nil to let the system choose
@@ -42,7 +43,7 @@
 // NewPool returns an empty pool that keeps at most maxIdle idle connections. now
 // returns the time since a fixed start.
 func NewPool(codec Codec, now func() time.Duration, maxIdle int) *Pool {
-	return &Pool{codec: codec, now: now, maxIdle: maxIdle, idle: map[Endpoint][]*Conn{}}
+	return &Pool{codec: codec, single: codec.AnswerHeaders(), now: now, maxIdle: maxIdle, idle: map[Endpoint][]*Conn{}}
 }
 
 // Bind sets the source IP of connections, so that a host with several addresses uses its
@@ -93,7 +94,7 @@
 	if err != nil {
 		return nil, err
 	}
-	u.codec = p.codec
+	u.codec, u.heads = p.codec, HeadChecker{Single: p.single}
 	u.onDead = p.remove
 	go u.readLoop()
 	return u, nil
--- a/internal/hop/pool_test.go
+++ b/internal/hop/pool_test.go
@@ -16,6 +16,7 @@
 func (plainCodec) Call(h http.Header) Call                    { return Call{ID: h.Get("Id")} }
 func (plainCodec) Forward(http.Header, time.Duration, string) {}
 func (plainCodec) Answer(_ int, h http.Header) Answer         { return Answer{ID: h.Get("Id")} }
+func (plainCodec) AnswerHeaders() []string                    { return []string{"Id", "Not-Run"} }
 func (plainCodec) Refuse(http.Header, time.Duration)          {}
 func (plainCodec) Echo(h http.Header, id string)              { h.Set("Id", id) }
 
--- a/internal/hop/read.go
+++ b/internal/hop/read.go
@@ -1,7 +1,6 @@
 package hop
 
 import (
-	"errors"
 	"fmt"
 	"net/http"
 )
@@ -88,15 +87,20 @@
 	return e.fresh && (e.id == "" || answer.NotExecuted)
 }
 
-// readHead reads the head of a response; its body stays unread.
+// readHead reads the head of a response; its body stays unread. It parses only heads that are
+// sound.
 func (u *Conn) readHead(request *http.Request) (*http.Response, error) {
 	u.limiter.Allow(maxHead + readBuffer)
 	defer u.limiter.RemoveLimit()
-	response, err := http.ReadResponse(u.reader, request)
+	head, err := u.peekHead()
 	if err != nil {
 		return nil, err
 	}
-	if err := errors.Join(CheckStatus(response), CheckFields(response.Header)); err != nil {
+	if err := u.heads.Check(head); err != nil {
+		return nil, u.headError(err, head)
+	}
+	response, err := http.ReadResponse(u.reader, request)
+	if err != nil {
 		return nil, err
 	}
 	if isUnframed(response) {
--- a/internal/hop/socket.go
+++ b/internal/hop/socket.go
@@ -26,7 +26,7 @@
 func newConn(to Endpoint, conn net.Conn) *Conn {
 	limiter := NewHeadLimiter(conn)
 	return &Conn{to: to, conn: conn, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBuffer),
-		resume: make(chan bool, 1), fresh: true}
+		resume: make(chan bool, 1), fresh: true, opened: time.Now()}
 }
 
 // setUnackedTimeout sets TCP_USER_TIMEOUT on a socket before it connects.
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -87,6 +87,7 @@
 	r, outcome := x.send(ctx, c, forwarded)
 	if r.Err != nil {
 		c.Abort()
+		x.countUnsound(r.Err)
 		return x.reportFailure(outcome, r.Err)
 	}
 	x.observe(&r.Answer)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -40,6 +40,7 @@
 	return hop.Answer{ID: h.Get("Id"), Signed: true, NotExecuted: h.Get("Not-Run") != "", Leaving: h.Get("Leaving") != "",
 		RetryAfter: time.Duration(pause) * time.Millisecond}
 }
+func (testCodec) AnswerHeaders() []string           { return []string{"Id", "Not-Run", "Leaving"} }
 func (testCodec) Refuse(http.Header, time.Duration) {}
 func (testCodec) Echo(h http.Header, id string)     { h.Set("Id", id) }
 
--- a/internal/relay/report.go
+++ b/internal/relay/report.go
@@ -1,9 +1,11 @@
 package relay
 
 import (
+	"errors"
 	"net/http"
 	"strconv"
 
+	"github.com/hornbeamstack/hornbeamstack/internal/hop"
 	"github.com/hornbeamstack/hornbeamstack/pkg/roster"
 )
 
@@ -47,3 +49,11 @@
 	s.sampler.Warn(s.config.Log, message, append([]any{"id", x.call.ID, "target", x.target, "address", x.to.Address,
 		"entry", x.session.host, "after", s.now() - x.received, "err", err}, detail...)...)
 }
+
+// countUnsound counts an answer whose head is not sound.
+func (x *exchange) countUnsound(err error) {
+	var unsound *hop.HeadError
+	if errors.As(err, &unsound) {
+		x.session.server.count("relay.unsound_heads")
+	}
+}
