Test: the target decides when the connection of a request is lost

It reset the kept connection from outside and then sent a request, and expected that the request is on the connection when the gateway learns of the reset. Where the gateway learns of it before, no request is lost and, by TestIdleConnectionsThatEndedAreNotReported, nothing is to be reported. The order was the test's to decide.

The target now resets the connection when it has read the request. The new test is stricter: it asks for exactly one report and for both requests at the target. It fails if reportLost records nothing.

--- a/internal/gateway/cut_off_test.go
+++ b/internal/gateway/cut_off_test.go
@@ -150,27 +150,37 @@
 	}
 }
 
-// Guards against failures of one target that are no longer reported.
+// Guards against failures of one target that are no longer reported. The target loses the
+// connection while it has the request, which the gateway learns in no other order.
 func TestLostConnectionsOfOneTargetAreReported(t *testing.T) {
 	f := newCutFixture(t, ok)
 	f.gateway.reports.take("c")
 	home := f.targets[f.order(policy.Safe)[0]]
+	home.Script = func(target *nettest.Target, conn net.Conn, r *http.Request) {
+		if r.Header.Get("Id") == "2" {
+			target.Cut(entryIP, nettest.Reset)
+			return
+		}
+		ok(target, conn, r)
+	}
 	if r, _ := f.do("GET", "/safe/x", "1", ""); r.StatusCode != http.StatusOK {
 		t.Fatalf("got %d", r.StatusCode)
 	}
 	f.awaitKept(1)
-	home.Cut(entryIP, nettest.Reset)
 	if r, _ := f.do("GET", "/safe/x", "2", ""); r.StatusCode != http.StatusOK { // served by another target
 		t.Fatalf("got %d", r.StatusCode)
 	}
+	if n := len(ids(home)); n != 2 {
+		t.Fatalf("the target has read %d requests, want 2", n)
+	}
 	bad := 0
 	for _, report := range f.gateway.reports.take("c") {
 		if report.Target == home.Name {
 			bad += int(report.Bad)
 		}
 	}
-	if bad == 0 {
-		t.Error("the loss of the connection to a target is not reported")
+	if bad != 1 {
+		t.Errorf("%d losses of the connection to the target are reported, want 1", bad)
 	}
 	if f.gateway.reach.isCut() {
 		t.Error("the host counts as cut off after the loss of one target")
