--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: all build demo test check unit models examples measure soak capacity clean
+.PHONY: all build demo test check unit models examples measure soak race capacity clean
 
 all: build
 
@@ -38,6 +38,11 @@
 soak:
 	$(GO) test ./test/soak -timeout 60m -args -seeds $(SEEDS) -first $(FIRST)
 
+# race runs the soak and the cuts of entry hosts with programs that the race detector watches.
+RACE_SEEDS ?= 24
+race:
+	$(GO) test -race -count=1 ./test/soak -timeout 60m -args -programs-race -seeds $(RACE_SEEDS) -first $(FIRST)
+
 capacity: build
 	$(BIN)/hornbeam-capacity
 
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bytes"
 	"flag"
 	"fmt"
 	"net/http"
@@ -15,6 +16,7 @@
 var (
 	seedCount = flag.Int("seeds", 0, "number of consecutive seeds to run in place of the fixed ones")
 	firstSeed = flag.Uint64("first", 1000, "first of these seeds")
+	withRace  = flag.Bool("programs-race", false, "build the programs with the race detector")
 )
 
 // fixedSeeds run by default. Seeds that have failed stay in the list, with the cause.
@@ -34,7 +36,11 @@
 	if err != nil {
 		panic(err)
 	}
-	build := exec.Command("go", "build", "-o", folder+"/", "../../cmd/hornbeam-core", "../../cmd/hornbeam-gateway")
+	arguments := []string{"build", "-o", folder + "/"}
+	if *withRace {
+		arguments = append(arguments, "-race")
+	}
+	build := exec.Command("go", append(arguments, "../../cmd/hornbeam-core", "../../cmd/hornbeam-gateway")...)
 	if out, err := build.CombinedOutput(); err != nil {
 		panic(fmt.Sprintf("build: %v: %s", err, out))
 	}
@@ -113,6 +119,16 @@
 	}
 }
 
+// checkRaces reports the data races that the programs have logged, if they were built to.
+func (d *deployment) checkRaces() {
+	for _, m := range d.members {
+		text, err := os.ReadFile(m.log)
+		if err == nil && bytes.Contains(text, []byte("WARNING: DATA RACE")) {
+			d.t.Errorf("%s has logged a data race", m.name)
+		}
+	}
+}
+
 // startTargets starts targets in all availability zones.
 func (d *deployment) startTargets(count int) {
 	d.t.Helper()
@@ -136,6 +152,7 @@
 	for _, r := range d.relays {
 		r.close()
 	}
+	d.checkRaces()
 	if d.t.Failed() {
 		d.keepLogs()
 	}
