Check the owner of a connection and close it under one lock

Exchange.Close looked up whether the connection still belongs to its request and closed it after that. A close that came just as the connection was released could end the one that was kept, or the next request on it. SetWriteDeadline had the same gap.

reply.finish loses its parameter, which nothing reads since connections decide themselves whether they are kept.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -21,7 +21,7 @@
 				c.abort()
 			}
 			if r.finish != nil {
-				r.finish(!failed)
+				r.finish()
 			}
 		case <-x.ctx.Done():
 			// The caller has left. The handler ends on its own.
@@ -45,7 +45,7 @@
 		return
 	}
 	if r := <-x.answer; r.finish != nil {
-		r.finish(false)
+		r.finish()
 	}
 }
 
--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -105,7 +105,7 @@
 		}
 		d.tried[t.Name] = true
 		if last.reply != nil && last.reply.finish != nil {
-			last.reply.finish(false)
+			last.reply.finish()
 		}
 		last = d.attempt(&t, e)
 		d.logAttempt(&t, e, last)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -39,7 +39,7 @@
 	length int64     // of body and rest together in bytes, -1 if unknown
 	close  bool      // the connection is closed after the answer
 	// finish is called after the answer was sent or abandoned; it may be nil.
-	finish func(sent bool)
+	finish func()
 }
 
 // newReply returns an answer of the gateway itself, with a line of plain text.
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -116,10 +116,10 @@
 	}
 	r := d.run()
 	finish := r.finish
-	r.finish = func(sent bool) {
+	r.finish = func() {
 		g.downloadLimit.release()
 		if finish != nil {
-			finish(sent)
+			finish()
 		}
 	}
 	return r
--- a/internal/gateway/read_answer.go
+++ b/internal/gateway/read_answer.go
@@ -48,11 +48,11 @@
 			reply.length = int64(len(head))
 		}
 		d.release(c, e)
-		reply.finish = func(bool) { d.gateway.held.Release(held) }
+		reply.finish = func() { d.gateway.held.Release(held) }
 		return attempt{outcome: answered, reply: reply, released: true}
 	}
 	reply.rest = response.Body
-	reply.finish = func(bool) {
+	reply.finish = func() {
 		d.gateway.held.Release(held)
 		stop()
 		d.release(c, e)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -145,7 +145,7 @@
 	a := d.readAnswer(c, e, r)
 	if r.Answer.NotExecuted {
 		if a.reply != nil && a.reply.finish != nil {
-			a.reply.finish(false) // the rest of the body is not read
+			a.reply.finish() // the rest of the body is not read
 		}
 		return attempt{outcome: notRun, released: a.released}
 	}
@@ -156,7 +156,7 @@
 		return a
 	}
 	if r.Answer.Refusal {
-		a.reply.finish(false) // the rest of the body is not read
+		a.reply.finish() // the rest of the body is not read
 		d.gateway.meters.count("answer.unconfirmed_refusal")
 		e.RecordFailure(now)
 		err := fmt.Errorf("%w: status %d", errUnconfirmedRefusal, r.Response.StatusCode)
--- a/internal/hop/exchange.go
+++ b/internal/hop/exchange.go
@@ -50,9 +50,16 @@
 // SetKeepAlive sets the idle time after which the other side closes the connection.
 func (e *Exchange) SetKeepAlive(d time.Duration) { e.keepAlive = d }
 
-// SetWriteDeadline limits later writes. Its error is ignored: if the connection has ended,
-// the next write fails.
-func (e *Exchange) SetWriteDeadline(t time.Time) { _ = e.conn.conn.SetWriteDeadline(t) }
+// SetWriteDeadline limits later writes of the request. Its error is ignored: if the
+// connection has ended, the next write fails.
+func (e *Exchange) SetWriteDeadline(t time.Time) {
+	u := e.conn
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.exchange == e {
+		_ = u.conn.SetWriteDeadline(t)
+	}
+}
 
 // Write sends bytes of the request.
 func (e *Exchange) Write(p []byte) (int, error) {
@@ -88,8 +95,12 @@
 // Close ends the connection if it still belongs to the request, which then ends with an
 // error. The exchange has to be released or aborted all the same.
 func (e *Exchange) Close() {
-	if e.current() {
-		e.conn.Close()
+	u := e.conn
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.exchange == e {
+		u.dead = true
+		_ = u.conn.Close() // under the lock, so that the connection is not passed on meanwhile
 	}
 }
 
--- a/internal/hop/exchange_test.go
+++ b/internal/hop/exchange_test.go
@@ -226,3 +226,46 @@
 		t.Error("an aborted connection takes a request")
 	}
 }
+
+// Guards against a timer or a caller that leaves and closes the connection just when it is
+// kept and carries the next request.
+func TestLateCloseEndsNoOtherRequest(t *testing.T) {
+	const answer = "HTTP/1.1 200 OK\r\nId: %d\r\nContent-Length: 0\r\n\r\n"
+	for i := range 300 {
+		l := newLine(t)
+		for id := range 20 {
+			e := l.begin(fmt.Sprint(id))
+			e.MarkSent()
+			l.answer(fmt.Sprintf(answer, id))
+			l.response(e)
+			done := make(chan struct{})
+			go func() {
+				e.Close()
+				close(done)
+			}()
+			l.pool.Release(e)
+			kept := l.pool.Get(l.conn.to, true)
+			if kept == nil {
+				<-done
+				break // the close came first
+			}
+			next, ok := kept.Begin(&http.Request{Method: "POST"}, "next")
+			<-done
+			if !ok || !next.current() || l.conn.dead {
+				t.Fatalf("connection %d, request %d: the close has ended a connection that was kept", i, id)
+			}
+			next.MarkSent()
+			if _, err := io.WriteString(next, "POST / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+				t.Fatal(err)
+			}
+			l.answer("HTTP/1.1 200 OK\r\nId: next\r\nContent-Length: 0\r\n\r\n")
+			l.response(next)
+			l.pool.Release(next)
+			if l.pool.Get(l.conn.to, true) == nil {
+				t.Fatal("the connection is not kept")
+			}
+		}
+		l.conn.Close()
+		_ = l.other.Close()
+	}
+}
--- a/internal/hop/strict_head.go
+++ b/internal/hop/strict_head.go
@@ -8,9 +8,10 @@
 
 // HeadChecker checks the heads of responses before anything else reads them, as net/http's
 // reader takes more than RFC 9112 allows: bytes of an earlier answer that stand before a
-// head are read as a part of it. The zero value allows any field more than once.
+// head are read as a part of it.
 type HeadChecker struct {
-	// Single are the names of fields that decide what an answer is. Each may occur once.
+	// Single are the names of the fields, besides those of the framing, that may occur once
+	// since they decide what an answer is.
 	Single []string
 }
 
