--- a/internal/hop/bench_test.go
+++ b/internal/hop/bench_test.go
@@ -49,7 +49,7 @@
 // serveBenchmark answers each read on a connection with a typical answer.
 func serveBenchmark(l net.Listener) {
 	body := make([]byte, 600)
-	text := []byte(fmt.Sprintf("HTTP/1.1 200 OK\r\nId: 1\r\nResponse-Signature: 3e1b.07.5a2.600.0.c9f2a4d1\r\nServer-Load: 1,0,4\r\n"+
+	text := []byte(fmt.Sprintf("HTTP/1.1 200 OK\r\nId: 1\r\nSignature: 3e1b.07.5a2.600.0.c9f2a4d1\r\nLoad-Of-Target: 1,0,4\r\n"+
 		"Keep-Alive: timeout=10\r\nContent-Type: application/octet-stream\r\nDate: Mon, 07 Dec 2026 18:00:00 GMT\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
 	for {
 		conn, err := l.Accept()
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -160,7 +160,11 @@
 
 // keepLogs copies the logs of a failed seed to a folder that outlives the test.
 func (d *deployment) keepLogs() {
-	folder := fmt.Sprintf("%s/hornbeam-soak-logs-%d", os.TempDir(), d.seed)
+	folder, err := os.MkdirTemp("", fmt.Sprintf("hornbeam-soak-logs-%d-", d.seed)) // logs of earlier runs stay
+	if err != nil {
+		d.t.Logf("creating a lasting folder for logs: %v", err)
+		return
+	}
 	if err := os.CopyFS(folder, os.DirFS(d.folder)); err != nil {
 		d.t.Logf("copying logs to a lasting folder: %v", err)
 	}
